--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: demo test bench golden check format clean
+
+$(STAMP): requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -r requirements.lock
+	$(BIN)/pip install --quiet --no-build-isolation --no-deps -e .
+	touch $(STAMP)
+
+demo: $(STAMP)
+	PATH="$(CURDIR)/$(BIN):$$PATH" scripts/demo.sh $(DEMO_ARGS)
+
+test: $(STAMP)
+	$(BIN)/python -m pytest $(TEST_ARGS)
+
+bench: $(STAMP)
+	$(BIN)/python -m hibiscushaven.bench $(BENCH_ARGS)
+
+golden: $(STAMP)
+	$(BIN)/python -m pytest -m "not slow" --snapshot-update tests/golden
+
+check: $(STAMP)
+	$(BIN)/black --check --quiet src tests
+	$(BIN)/ruff check src tests
+
+format: $(STAMP)
+	$(BIN)/black --quiet src tests
+	$(BIN)/ruff check --fix src tests
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/src/hibiscushaven/__init__.py
@@ -0,0 +1,5 @@
+"""Global traffic steering on small entry VMs."""
+
+__all__ = ["__version__"]
+
+__version__ = "0.1.0"
