Add documents, platform port and peer streams

Cause: every later package builds on these three. Change: a document model with a parser that reports all problems at once, the platform port with an in-memory and an HTTP form, and framed msgpack messages on three lanes per pair of VMs. The doctests pass; nothing is measured yet.

--- /dev/null
+++ b/src/hibiscushaven/ini/__init__.py
@@ -0,0 +1,30 @@
+"""Checked reading of INI files, shared by settings and documents."""
+
+from .fields import (
+    Field,
+    IniProblem,
+    Kind,
+    boolean,
+    choice,
+    digest,
+    endpoint,
+    integer,
+    number,
+    text,
+)
+from .sections import Section, read_sections
+
+__all__ = [
+    "Field",
+    "IniProblem",
+    "Kind",
+    "Section",
+    "boolean",
+    "choice",
+    "digest",
+    "endpoint",
+    "integer",
+    "number",
+    "read_sections",
+    "text",
+]
--- /dev/null
+++ b/src/hibiscushaven/ini/sections.py
@@ -0,0 +1,94 @@
+"""Reading of a whole INI file against the fields of its sections."""
+
+import configparser
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from .fields import Field, IniProblem
+
+__all__ = ["Section", "read_sections"]
+
+
+@dataclass(frozen=True, slots=True)
+class Section:
+    """A section whose values were read.
+
+    :ivar kind: first word of the section's title.
+    :ivar name: the rest of the title, empty where there is none.
+    """
+
+    kind: str
+    name: str
+    values: Mapping[str, Any]
+
+    @property
+    def title(self) -> str:
+        return f"{self.kind} {self.name}".strip()
+
+
+def read_sections(
+    text: str, layout: Mapping[str, tuple[Field, ...]]
+) -> tuple[tuple[Section, ...], tuple[IniProblem, ...]]:
+    """Read every section of ``text`` and report all problems at once.
+
+    :param layout: fields by section kind (the first word of the title).
+    :returns: the sections, with problematic values left out, and the problems.
+
+    Examples
+    ========
+
+    >>> from hibiscushaven.ini import integer
+    >>> layout = {"vm": (Field("port", integer(1, 9)),)}
+    >>> sections, problems = read_sections("[vm]\\nport = x", layout)
+    >>> [str(problem) for problem in problems]
+    ["[vm] port = 'x': expected an integer from 1 to 9"]
+
+    """
+    parser = configparser.ConfigParser(interpolation=None, default_section="\0")
+    parser.optionxform = str
+    try:
+        parser.read_string(text)
+    except configparser.Error as error:
+        return (), (IniProblem("file", "", " ".join(str(error).split()), "an INI file"),)
+    problems: list[IniProblem] = []
+    sections = []
+    for title in parser.sections():
+        kind, _, name = title.partition(" ")
+        if kind not in layout:
+            kinds = "a section of kind " + ", ".join(sorted(layout))
+            problems.append(IniProblem(title, "", title, kinds))
+            continue
+        values = parser[title]
+        problems.extend(_check(title, values, layout[kind]))
+        sections.append(Section(kind, name.strip(), dict(_read(values, layout[kind]))))
+    return tuple(sections), tuple(problems)
+
+
+def _check(
+    title: str, values: Mapping[str, str], fields: tuple[Field, ...]
+) -> Iterator[IniProblem]:
+    known = {field.key for field in fields}
+    for key in values:
+        if key not in known:
+            yield IniProblem(title, key, values[key], "one of the keys " + ", ".join(sorted(known)))
+    for field in fields:
+        if field.key not in values:
+            if field.is_required:
+                yield IniProblem(title, field.key, None, field.kind.allowed)
+            continue
+        try:
+            field.kind.parse(values[field.key])
+        except ValueError:
+            yield IniProblem(title, field.key, values[field.key], field.kind.allowed)
+
+
+def _read(values: Mapping[str, str], fields: tuple[Field, ...]) -> Iterator[tuple[str, Any]]:
+    for field in fields:
+        if field.key not in values:
+            yield field.key, field.default
+            continue
+        try:
+            yield field.key, field.kind.parse(values[field.key])
+        except ValueError:
+            yield field.key, field.default
--- /dev/null
+++ b/src/hibiscushaven/peers/hub.py
@@ -0,0 +1,226 @@
+"""Connections of one VM to its peers: one per peer and lane."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from enum import StrEnum
+
+from hibiscushaven.ini.fields import Endpoint
+
+from .messages import DecodeError, Message, message
+from .stream import PeerClosedError, PeerStream
+
+__all__ = ["Handler", "Hello", "Lane", "PeerHub", "PeerIdentity", "PeerLink"]
+
+_LOG = logging.getLogger(__name__)
+_CONNECT_TIMEOUT_S = 1.0
+
+
+class Lane(StrEnum):
+    """Traffic of a connection; long bodies never delay heartbeats or short work."""
+
+    CONTROL = "control"
+    SHORT = "short"
+    BULK = "bulk"
+
+
+@dataclass(frozen=True, slots=True)
+class PeerIdentity:
+    """Who a daemon is.
+
+    :ivar incarnation: random id of one start of the daemon.
+    """
+
+    vm: str
+    incarnation: str
+    failure_domain: str
+    region: str
+    host: str
+    peer_port: int
+
+    @property
+    def endpoint(self) -> Endpoint:
+        return Endpoint(self.host, self.peer_port)
+
+
+@message("hello")
+@dataclass(frozen=True, slots=True)
+class Hello(Message):
+    """First message in both directions of a connection."""
+
+    vm: str
+    incarnation: str
+    failure_domain: str
+    region: str
+    host: str
+    peer_port: int
+    lane: str
+
+    @property
+    def identity(self) -> PeerIdentity:
+        return PeerIdentity(
+            self.vm,
+            self.incarnation,
+            self.failure_domain,
+            self.region,
+            self.host,
+            self.peer_port,
+        )
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class PeerLink:
+    """An open connection to a peer."""
+
+    identity: PeerIdentity
+    lane: Lane
+    stream: PeerStream
+
+
+Handler = Callable[[PeerLink, Message], Awaitable[None]]
+
+
+class PeerHub:
+    """Accepts and opens connections to peers and passes on what they receive.
+
+    :param handler: awaited for each message, in order of arrival on its connection.
+    :param on_close: called when a connection ended.
+    """
+
+    def __init__(
+        self,
+        identity: PeerIdentity,
+        handler: Handler,
+        on_close: Callable[[PeerLink], None] = lambda link: None,
+    ) -> None:
+        self._identity = identity
+        self._handler = handler
+        self._on_close = on_close
+        self._server: asyncio.Server | None = None
+        self._links: dict[tuple[Endpoint, Lane], PeerLink] = {}
+        self._dialing: dict[tuple[Endpoint, Lane], asyncio.Task[PeerLink]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def identity(self) -> PeerIdentity:
+        return self._identity
+
+    async def listen(self) -> None:
+        """Accept connections on the identity's address."""
+        self._server = await asyncio.start_server(
+            self._accept, self._identity.host, self._identity.peer_port
+        )
+
+    async def close(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        for task in (*self._tasks, *self._dialing.values()):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def link(self, endpoint: Endpoint, lane: Lane) -> PeerLink:
+        """Return an open connection to a peer, opening one if there is none.
+
+        :raises PeerClosedError: when the peer cannot be reached.
+        """
+        key = (endpoint, lane)
+        link = self._links.get(key)
+        if link is not None and not link.stream.is_closing:
+            return link
+        task = self._dialing.get(key)
+        if task is None:
+            task = asyncio.create_task(self._dial(endpoint, lane))
+            self._dialing[key] = task
+            task.add_done_callback(lambda _: self._dialing.pop(key, None))
+        return await asyncio.shield(task)
+
+    async def send(self, endpoint: Endpoint, lane: Lane, item: Message) -> None:
+        """Send a message to a peer.
+
+        :raises PeerClosedError: when the peer cannot be reached.
+        """
+        link = await self.link(endpoint, lane)
+        await link.stream.send(item)
+
+    def drop(self, endpoint: Endpoint) -> None:
+        """Close all connections to a peer, so that the next use opens new ones."""
+        for lane in Lane:
+            link = self._links.pop((endpoint, lane), None)
+            if link is not None:
+                link.stream.close()
+
+    async def _dial(self, endpoint: Endpoint, lane: Lane) -> PeerLink:
+        try:
+            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(endpoint.host, endpoint.port)
+        except (OSError, TimeoutError) as error:
+            raise PeerClosedError(f"no connection to {endpoint}: {error!r}") from error
+        stream = PeerStream(reader, writer, _idle_timeout(lane))
+        stream.send_nowait(self._hello(lane))
+        try:
+            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+                hello = await stream.receive()
+        except (TimeoutError, DecodeError) as error:
+            stream.close()
+            raise PeerClosedError(f"no greeting from {endpoint}") from error
+        if not isinstance(hello, Hello):
+            stream.close()
+            raise PeerClosedError(f"{endpoint} sent {hello.kind!r} before its greeting")
+        link = PeerLink(hello.identity, lane, stream)
+        self._links[(endpoint, lane)] = link
+        self._spawn(self._serve(link, endpoint))
+        return link
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        stream = PeerStream(reader, writer)
+        try:
+            hello = await stream.receive()
+            if not isinstance(hello, Hello):
+                raise PeerClosedError("no greeting")
+            lane = Lane(hello.lane)
+            stream.idle_timeout_s = _idle_timeout(lane)
+            stream.send_nowait(self._hello(lane))
+        except (PeerClosedError, DecodeError, ValueError) as error:
+            _LOG.info("peer connection refused", extra={"reason": str(error)})
+            stream.close()
+            return
+        self._spawn(self._serve(PeerLink(hello.identity, lane, stream), None))
+
+    async def _serve(self, link: PeerLink, endpoint: Endpoint | None) -> None:
+        try:
+            while True:
+                await self._handler(link, await link.stream.receive())
+        except (PeerClosedError, DecodeError) as error:
+            _LOG.debug("peer connection ended", extra={"vm": link.identity.vm, "why": str(error)})
+        finally:
+            link.stream.close()
+            if endpoint is not None and self._links.get((endpoint, link.lane)) is link:
+                del self._links[(endpoint, link.lane)]
+            self._on_close(link)
+
+    def _hello(self, lane: Lane) -> Hello:
+        own = self._identity
+        return Hello(
+            own.vm,
+            own.incarnation,
+            own.failure_domain,
+            own.region,
+            own.host,
+            own.peer_port,
+            lane,
+        )
+
+    def _spawn(self, work: Awaitable[None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _idle_timeout(lane: Lane) -> float | None:
+    """Return the silence after which a connection is closed, in seconds.
+
+    Control connections carry heartbeats both ways. The others are silent between
+    requests; a request on them has its own progress timeout.
+    """
+    return 5.0 if lane is Lane.CONTROL else None
--- /dev/null
+++ b/src/hibiscushaven/platform/memory.py
@@ -0,0 +1,140 @@
+"""The platform in memory, for tests and the embedded demo; it can be made to fail."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from .port import ConflictError, OutcomeUnknownError, Row, UnavailableError, VmEntry, Write
+
+__all__ = ["Faults", "MemoryPlatform", "Usage"]
+
+
+@dataclass(slots=True)
+class Faults:
+    """Faults of the platform, set by tests and by the stand-in's control endpoint.
+
+    :ivar is_down: every call fails and nothing is written.
+    :ivar lost_answers: number of coming writes that take effect and lose their answer.
+    :ivar stale_reads: number of coming reads that see the row as it was before its last write.
+    :ivar delay_s: time that each call takes.
+    :ivar list_lag: number of changes by which the list of VMs lags.
+    """
+
+    is_down: bool = False
+    lost_answers: int = 0
+    stale_reads: int = 0
+    delay_s: float = 0.0
+    list_lag: int = 0
+
+
+@dataclass(slots=True)
+class Usage:
+    """Calls counted against the platform's budget of reads and writes."""
+
+    reads: int = 0
+    writes: int = 0
+    rows_written: int = 0
+
+
+@dataclass(slots=True)
+class _Cell:
+    current: Row | None = None
+    previous: Row | None = None
+    version: int = field(default=0)
+
+
+class MemoryPlatform:
+    """Table, object store and VM list in memory.
+
+    Examples
+    ========
+
+    >>> import asyncio
+    >>> platform = MemoryPlatform()
+    >>> asyncio.run(platform.transact((Write("a", b"1", 0),)))
+    {'a': 1}
+    >>> asyncio.run(platform.read("a")).value
+    b'1'
+
+    """
+
+    def __init__(self) -> None:
+        self._cells: dict[str, _Cell] = {}
+        self._objects: dict[str, bytes] = {}
+        self._lists: deque[tuple[VmEntry, ...]] = deque([()], maxlen=64)
+        self.faults = Faults()
+        self.usage = Usage()
+
+    async def read(self, key: str) -> Row | None:
+        self._begin_read()
+        return self._visible(key)
+
+    async def read_prefix(self, prefix: str) -> tuple[Row, ...]:
+        self._begin_read()
+        keys = sorted(key for key in self._cells if key.startswith(prefix))
+        rows = (self._visible(key) for key in keys)
+        return tuple(row for row in rows if row is not None)
+
+    async def transact(self, writes: tuple[Write, ...]) -> dict[str, int]:
+        self._raise_if_down()
+        self.usage.writes += 1
+        conflicts = tuple(write.key for write in writes if not self._is_expected(write))
+        if conflicts:
+            raise ConflictError(conflicts)
+        versions = {write.key: self._write(write) for write in writes}
+        self.usage.rows_written += len(writes)
+        if self.faults.lost_answers > 0:
+            self.faults.lost_answers -= 1
+            raise OutcomeUnknownError("the answer to a transaction was lost")
+        return versions
+
+    async def get(self, name: str) -> bytes | None:
+        self._begin_read()
+        return self._objects.get(name)
+
+    async def put(self, name: str, value: bytes) -> None:
+        self._raise_if_down()
+        self.usage.writes += 1
+        self._objects[name] = value
+
+    async def list_vms(self) -> tuple[VmEntry, ...]:
+        self._begin_read()
+        lag = min(self.faults.list_lag, len(self._lists) - 1)
+        return self._lists[-1 - lag]
+
+    def set_vms(self, vms: tuple[VmEntry, ...]) -> None:
+        """Change the list of VMs."""
+        self._lists.append(vms)
+
+    def _raise_if_down(self) -> None:
+        if self.faults.is_down:
+            raise UnavailableError("the platform is down")
+
+    def _begin_read(self) -> None:
+        self._raise_if_down()
+        self.usage.reads += 1
+
+    def _visible(self, key: str) -> Row | None:
+        cell = self._cells.get(key)
+        if cell is None:
+            return None
+        if self.faults.stale_reads > 0:
+            self.faults.stale_reads -= 1
+            return cell.previous
+        return cell.current
+
+    def _is_expected(self, write: Write) -> bool:
+        if write.expected_version is None:
+            return True
+        cell = self._cells.get(write.key)
+        current = cell.current.version if cell is not None and cell.current else 0
+        return current == write.expected_version
+
+    def _write(self, write: Write) -> int:
+        cell = self._cells.setdefault(write.key, _Cell())
+        cell.version += 1
+        cell.previous = cell.current
+        if write.value is None:
+            cell.current = None
+        else:
+            cell.current = Row(write.key, write.value, cell.version)
+        return cell.version
