--- /dev/null
+++ b/src/hibiscushaven/entry/problems.py
@@ -0,0 +1,45 @@
+"""Errors of the HTTP interfaces as ``application/problem+json``."""
+
+import json
+from dataclasses import dataclass, field
+from typing import Any
+
+from starlette.responses import Response
+
+__all__ = ["Problem", "problem_response"]
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """An error as a caller sees it.
+
+    :ivar retry_after_s: when the caller may come back, if that can help.
+    """
+
+    status: int
+    title: str
+    detail: str = ""
+    outcome: str = "not-run"
+    retry_after_s: float | None = None
+    extra: dict[str, Any] = field(default_factory=dict)
+
+
+def problem_response(problem: Problem, request_id: str) -> Response:
+    """Return the response of a problem."""
+    body = {
+        "type": "about:blank",
+        "title": problem.title,
+        "status": problem.status,
+        "detail": problem.detail,
+        "request_id": request_id,
+        "outcome": problem.outcome,
+        **problem.extra,
+    }
+    headers = {"request-outcome": problem.outcome, "request-id": request_id}
+    if problem.retry_after_s is not None:
+        # Retry-After has whole seconds; rounding down would call the caller back too early.
+        headers["retry-after"] = str(max(1, -int(-problem.retry_after_s // 1)))
+        body["retry_after_s"] = round(problem.retry_after_s, 3)
+    return Response(
+        json.dumps(body), problem.status, headers, media_type="application/problem+json"
+    )
