--- a/src/hibiscushaven/commands/main.py
+++ b/src/hibiscushaven/commands/main.py
@@ -1,66 +1,27 @@
-"""The ``hibiscushaven`` command."""
-
-import asyncio
-import sys
-from pathlib import Path
+"""The ``hibiscushaven`` command and its subcommands."""
 
 import click
 
-from hibiscushaven.documents import parse_document
-from hibiscushaven.entry import run_entry
-from hibiscushaven.settings import load_settings
-from hibiscushaven.standins.backend import run_backends
-from hibiscushaven.standins.platform import run_platform
+from hibiscushaven import __version__
+
+from .calls import lookup, metrics, request, status
+from .demo import demo
+from .document import document
+from .entry import entry
+from .standin import standin
 
 __all__ = ["main"]
 
 
-@click.group()
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(__version__)
 def main() -> None:
-    """Steer traffic between callers and backend servers."""
-
-
-@main.command()
-@click.option("--settings", "path", required=True, type=click.Path(exists=True))
-@click.option("--check", is_flag=True, help="Check the settings and exit.")
-def entry(path: str, check: bool) -> None:
-    """Run the daemon of one entry VM."""
-    result = load_settings(path)
-    if result.is_error():
-        for problem in result.error:
-            click.echo(f"{path}: {problem}", err=True)
-        sys.exit(2)
-    if not check:
-        asyncio.run(run_entry(result.ok))
-
-
-@main.group()
-def standin() -> None:
-    """Run stand-ins for tests and the demo."""
-
+    """Steer traffic between callers and backend servers.
 
-@standin.command()
-@click.option("--host", default="127.0.0.1")
-@click.option("--port", type=int, required=True)
-def platform(host: str, port: int) -> None:
-    """Run a platform in memory."""
-    asyncio.run(run_platform(host, port))
+    Commands that call an entry VM take its address from --entry or HIBISCUSHAVEN_ENTRY, and a
+    bearer token from --token-file or HIBISCUSHAVEN_TOKEN.
+    """
 
 
-@standin.command()
-@click.option("--document", required=True, type=click.Path(exists=True))
-@click.option("--failure-domain", default=None, help="Only the servers of this failure domain.")
-def backend(document: str, failure_domain: str | None) -> None:
-    """Run the backend servers of a document."""
-    parsed = parse_document(Path(document).read_text(encoding="utf-8"))
-    if parsed.is_error():
-        for problem in parsed.error:
-            click.echo(f"{document}: {problem}", err=True)
-        sys.exit(2)
-    places = parsed.ok.places_by_name
-    servers = tuple(
-        (item.name, item.address, item.slots)
-        for item in parsed.ok.servers
-        if failure_domain in (None, places[item.place].failure_domain)
-    )
-    asyncio.run(run_backends(servers))
+for _command in (demo, document, entry, lookup, metrics, request, standin, status):
+    main.add_command(_command)
--- /dev/null
+++ b/src/hibiscushaven/entry/neighbours.py
@@ -0,0 +1,57 @@
+"""Which other VMs there are, as far as requests and look-ups are concerned."""
+
+import random
+from collections.abc import Iterator
+
+from hibiscushaven.ini.fields import Endpoint
+from hibiscushaven.membership import MembershipNode, MemberState
+from hibiscushaven.platform import VmEntry, VmState
+
+__all__ = ["FRESH_DIGEST_S", "Neighbours"]
+
+# Digests come every second; a failure domain that missed three counts as unreachable.
+FRESH_DIGEST_S = 3.5
+
+
+class Neighbours:
+    """VMs of the own failure domain from the view, and of the others from list and digests."""
+
+    def __init__(self, membership: MembershipNode) -> None:
+        self._membership = membership
+
+    @property
+    def domain(self) -> str:
+        return self._membership.identity.failure_domain
+
+    @property
+    def entries(self) -> tuple[VmEntry, ...]:
+        return self._membership.view.entries
+
+    def reachable_domains(self) -> frozenset[str]:
+        """Return the failure domains that were heard lately, with the own one."""
+        digests = self._membership.domains.values()
+        fresh = (item.domain for item in digests if item.age_s < FRESH_DIGEST_S)
+        return frozenset((self.domain, *fresh))
+
+    def is_reachable(self, domain: str) -> bool:
+        return domain in self.reachable_domains()
+
+    def gateway(self, domain: str, rng: random.Random) -> Endpoint | None:
+        """Return a VM of another failure domain to relay to."""
+        digest = self._membership.domains.get(domain)
+        if digest is not None and digest.relays:
+            return rng.choice(digest.relays)
+        listed = [Endpoint(item.host, item.peer_port) for item in self._live(domain)]
+        return rng.choice(listed) if listed else None
+
+    def state_of(self, vm: str) -> MemberState | None:
+        """Return the state of a VM of the own failure domain."""
+        member = self._membership.view.members.get(vm)
+        return member.state if member is not None else None
+
+    def _live(self, domain: str) -> Iterator[VmEntry]:
+        return (
+            item
+            for item in self.entries
+            if item.failure_domain == domain and item.state is VmState.LIVE
+        )
--- /dev/null
+++ b/src/hibiscushaven/entry/node.py
@@ -0,0 +1,255 @@
+"""All parts of one entry VM, put together."""
+
+import asyncio
+import logging
+import random
+import secrets
+import time
+from collections.abc import Awaitable, Callable, Iterator
+
+from hibiscushaven.claims import ClaimKeeper, Pace
+from hibiscushaven.delivery import BackendClient, RelayClient, RelayServer
+from hibiscushaven.documents import DocumentCatalog
+from hibiscushaven.documents.distribution import DocumentDistributor
+from hibiscushaven.documents.publishing import DocumentPublisher
+from hibiscushaven.ini.fields import Endpoint
+from hibiscushaven.lookups import EntryVm
+from hibiscushaven.membership import MembershipNode, MemberState
+from hibiscushaven.metrics import MetricRegistry
+from hibiscushaven.peers import Message, PeerHub, PeerIdentity, PeerLink
+from hibiscushaven.platform import Platform, PlatformError
+from hibiscushaven.settings import Settings
+from hibiscushaven.slots import RosterKeeper, SlotNode
+
+from .clock import boot_time
+from .documents import KINDS, DocumentExchange
+from .look_up import LookupDesk
+from .mail import Mail
+from .neighbours import Neighbours
+from .owners import ShardOwners
+from .probes import ServerProbes
+from .recorder import RequestRecorder
+from .router import RequestRouter
+from .routes import Routes
+from .steering import Steering
+
+__all__ = ["EntryNode"]
+
+_LOG = logging.getLogger(__name__)
+
+_TICK_S = 0.1
+_POLL_S = 1.0
+_PROBE_S = 1.0
+_JITTER = 0.2  # share of an interval, so that VMs do not ask the platform in step
+_DEFAULT_CONNECTIONS = 64
+
+
+class EntryNode:
+    """The state of one entry VM and the loops that keep it up to date.
+
+    :param platform: the platform's services.
+    :param seed: seed of the random source; drawn by chance if ``None``.
+    """
+
+    def __init__(self, settings: Settings, platform: Platform, seed: int | None = None) -> None:
+        self.settings = settings
+        self.platform = platform
+        self.identity = PeerIdentity(
+            settings.name,
+            secrets.token_hex(8),
+            settings.failure_domain,
+            settings.region,
+            settings.host,
+            settings.peer_port,
+        )
+        self._rng = random.Random(secrets.randbits(64) if seed is None else seed)
+        self.metrics = MetricRegistry()
+        self.recorder = RequestRecorder(self.metrics)
+        self.hub = PeerHub(self.identity, self._receive)
+        self.mail = Mail(self.hub)
+        self.membership = MembershipNode(self.identity, rng=self._rng)
+        self.slots = SlotNode(self.identity)
+        self.roster = RosterKeeper(platform, self.identity)
+        self.neighbours = Neighbours(self.membership)
+        self._compose_documents()
+        self._compose_requests()
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether this VM knows the documents and may be used by callers."""
+        return self.documents.is_loaded
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no work is in progress here, for callers or for other VMs."""
+        return self.owners.is_idle and not self.relay_server.in_progress
+
+    async def start(self) -> None:
+        """Listen for peers and start the loops."""
+        await self.hub.listen()
+        self.membership.add_seeds(boot_time(), self.settings.seeds)
+        loops = (
+            (_TICK_S, 0.0, self._tick),
+            (_POLL_S, _JITTER, self._read_list),
+            (_POLL_S, _JITTER, self.documents.poll),
+            (_POLL_S, _JITTER, self._keep_roster),
+            (_PROBE_S, _JITTER, self.probes.step),
+        )
+        self._tasks = [asyncio.create_task(self._loop(*item)) for item in loops]
+
+    async def close(self) -> None:
+        """Stop the loops and close all connections."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.mail.close()
+        self.relay_client.close()
+        await self.relay_server.close()
+        await self.owners.close()
+        await self.claims.close()
+        await self.client.close()
+        await self.hub.close()
+
+    def begin_leaving(self) -> None:
+        """Get no new callers, and hand over what this VM owns."""
+        self.membership.set_part("leaving", [self.identity.vm])
+        self.membership.set_leaving(boot_time())
+        self.look_ups.set_leaving()
+        self.slots.withdraw()
+
+    async def leave_roster(self) -> bool:
+        """Give up the slot tokens of this VM; return whether that is done."""
+        return self.slots.is_drained and await self.roster.leave(boot_time())
+
+    def _compose_documents(self) -> None:
+        self.catalog = DocumentCatalog(lambda entry: self.documents.on_change(entry))
+        distributor = DocumentDistributor(
+            self.platform, self.catalog, self.identity.vm, time.time
+        )
+        self.distributor = distributor
+        self.publisher = DocumentPublisher(self.platform, time.time)
+        self.documents = DocumentExchange(
+            self.catalog, distributor, self.membership, self.mail
+        )
+
+    def _compose_requests(self) -> None:
+        settings = self.settings
+        self.client = BackendClient(self._connection_limit)
+        self.owners = ShardOwners(
+            settings.failure_domain,
+            self.catalog,
+            self.slots,
+            self.client,
+            lambda: self.membership.view,
+            self._rng,
+        )
+        self.probes = ServerProbes(self.owners, self.client)
+        self.steering = Steering(self.catalog, self.membership, self.neighbours, self._rng)
+        self.relay_client = RelayClient(self.hub)
+        self.routes = Routes(
+            self.catalog,
+            self.neighbours,
+            self.owners,
+            self.steering,
+            self.relay_client,
+            self._rng,
+        )
+        self.relay_server = RelayServer(self.hub, self.routes.serve)
+        self.claims = ClaimKeeper(
+            self.platform, self.identity.incarnation, boot_time, Pace(boot_time)
+        )
+        self.router = RequestRouter(self.claims, self.routes)
+        own = EntryVm(
+            settings.name,
+            settings.host,
+            settings.http_port,
+            settings.region,
+            settings.failure_domain,
+        )
+        self.look_ups = LookupDesk(
+            self.catalog, self.membership, self.neighbours, self.steering, own, self._rng
+        )
+
+    async def _loop(
+        self, interval_s: float, jitter: float, step: Callable[[], Awaitable[None]]
+    ) -> None:
+        while True:
+            try:
+                await step()
+            except PlatformError as error:
+                _LOG.warning("platform call failed", extra={"reason": str(error)})
+            except Exception:
+                # One faulty message or document must not stop the heartbeats.
+                _LOG.exception("periodic step failed", extra={"step": step.__qualname__})
+            await asyncio.sleep(interval_s * self._rng.uniform(1 - jitter, 1 + jitter))
+
+    async def _tick(self) -> None:
+        now = boot_time()
+        self.mail.post_all(self.membership.tick(now))
+        view = self.membership.view
+        self.slots.set_documents({item.document.name: item.document for item in self.catalog.entries})
+        self.mail.post_all(self.slots.tick(now, view))
+        self.owners.refresh()
+        self.steering.refresh()
+        self.look_ups.refresh()
+        self.documents.report()
+        down = [vm for vm, item in view.members.items() if item.state is MemberState.DOWN]
+        self.membership.set_part("down", sorted(down))
+        self.membership.set_part("heard", sorted(self._heard()))
+        self._exchange_crashes(now)
+
+    async def _read_list(self) -> None:
+        try:
+            vms = await self.platform.list_vms()
+        except PlatformError:
+            self.membership.on_list_failed(boot_time())
+            raise
+        self.membership.on_list(boot_time(), vms)
+        self.claims.set_live_vms(max(1, len(vms)))
+
+    async def _keep_roster(self) -> None:
+        now = boot_time()
+        view = self.membership.view
+        if self.membership.is_leaving:
+            return
+        heard = {
+            incarnation
+            for vm in view.members
+            for incarnation in (self.membership.peer_part(vm, "heard") or ())
+        }
+        roster = await self.roster.step(now, view, frozenset(heard))
+        self.slots.set_roster(boot_time(), roster, self.roster.read_at)
+
+    async def _receive(self, link: PeerLink, item: Message) -> None:
+        if isinstance(item, KINDS):
+            self.documents.receive(link.identity, item)
+            return
+        now = boot_time()
+        self.mail.post_all(self.membership.on_message(now, link.identity, item))
+        self.mail.post_all(self.slots.on_message(now, link.identity, item))
+
+    def _heard(self) -> Iterator[str]:
+        for vm, member in self.membership.view.members.items():
+            if vm != self.identity.vm and member.state is not MemberState.DOWN:
+                yield member.incarnation or ""
+
+    def _exchange_crashes(self, now: float) -> None:
+        """Publish the quarantined fingerprints, and take over those of other failure domains."""
+        own = {
+            shard.service: {key: round(left_s) for key, left_s in runner.quarantined(now).items()}
+            for shard, runner in self.owners.runners.items()
+        }
+        self.membership.set_part("crashes", {name: value for name, value in own.items() if value})
+        domains = (self.settings.failure_domain, *self.membership.domains)
+        for domain in domains:
+            found = self.membership.digest_part(domain, "crashes") or {}
+            for shard, runner in self.owners.runners.items():
+                runner.merge_quarantined(now, found.get(shard.service, {}))
+
+    def _connection_limit(self, address: Endpoint) -> int:
+        for entry in self.catalog.entries:
+            for server in entry.document.servers:
+                if server.address == address:
+                    return server.connections
+        return _DEFAULT_CONNECTIONS
--- /dev/null
+++ b/src/hibiscushaven/entry/owners.py
@@ -0,0 +1,107 @@
+"""The shards that this VM owns, and the owners of the others in its failure domain."""
+
+import random
+from collections.abc import Callable
+
+from hibiscushaven.claims import request_fingerprint
+from hibiscushaven.delivery import BackendClient, RelayRequest
+from hibiscushaven.dispatch import DispatchConfig, Dispatcher
+from hibiscushaven.documents import CatalogEntry, DocumentCatalog, Server
+from hibiscushaven.ini.fields import Endpoint
+from hibiscushaven.membership import View
+from hibiscushaven.slots import Shard, SlotNode
+
+from .shard_runner import ShardRunner
+
+__all__ = ["ShardOwners"]
+
+
+class ShardOwners:
+    """Keeps one runner per owned shard, and finds the owners of the rest."""
+
+    def __init__(
+        self,
+        domain: str,
+        catalog: DocumentCatalog,
+        slots: SlotNode,
+        client: BackendClient,
+        view: Callable[[], View],
+        rng: random.Random,
+    ) -> None:
+        self._domain = domain
+        self._catalog = catalog
+        self._slots = slots
+        self._client = client
+        self._view = view
+        self._rng = rng
+        self._runners: dict[Shard, ShardRunner] = {}
+        self._retired: list[ShardRunner] = []
+        self._revisions: dict[Shard, int] = {}
+
+    @property
+    def runners(self) -> dict[Shard, ShardRunner]:
+        return dict(self._runners)
+
+    @property
+    def is_idle(self) -> bool:
+        return all(item.is_idle for item in (*self._runners.values(), *self._retired))
+
+    def refresh(self) -> None:
+        """Start and retire runners as ownership changed, and hand on new documents."""
+        owned = self._slots.owned_shards(self._view())
+        for shard in self._runners.keys() - owned:
+            runner = self._runners.pop(shard)
+            self._revisions.pop(shard, None)
+            runner.retire()
+            self._retired.append(runner)
+        for shard in owned - self._runners.keys():
+            dispatcher = Dispatcher(
+                DispatchConfig(), self._slots, random.Random(self._rng.random())
+            )
+            self._runners[shard] = ShardRunner(dispatcher, self._client, self._slots.loan_expiry)
+        for shard, runner in self._runners.items():
+            entry = self._catalog.get(shard.service)
+            if entry is not None and self._revisions.get(shard) != entry.revision:
+                self._revisions[shard] = entry.revision
+                runner.set_document(entry.document, self._servers(entry, shard))
+        self._retired = [runner for runner in self._retired if not runner.is_idle]
+
+    def runner(self, shard: Shard | None) -> ShardRunner | None:
+        return self._runners.get(shard) if shard is not None else None
+
+    def owner_endpoint(self, shard: Shard | None) -> Endpoint | None:
+        """Return where the owner of a shard is reached."""
+        member = self._slots.owner_of(shard, self._view()) if shard is not None else None
+        return member.endpoint if member is not None else None
+
+    def pick_shard(self, service: str, rng: random.Random) -> Shard | None:
+        """Return a shard of the service's place, by its number of backend servers."""
+        servers = self._local_servers(service)
+        return self._slots.shard_of(service, rng.choice(servers).name) if servers else None
+
+    def pick_owned_shard(self, service: str, rng: random.Random) -> Shard | None:
+        """Return an owned shard of a service."""
+        owned = [shard for shard in self._runners if shard.service == service]
+        return rng.choice(owned) if owned else None
+
+    def fingerprint(self, request: RelayRequest) -> str:
+        """Return what makes requests equal to a backend server."""
+        path, _, query = request.target.partition("?")
+        return request_fingerprint(request.method, path, query, request.body)
+
+    async def close(self) -> None:
+        for runner in (*self._runners.values(), *self._retired):
+            await runner.close()
+
+    def _local_servers(self, service: str) -> tuple[Server, ...]:
+        entry = self._catalog.get(service)
+        place = entry and entry.document.places_by_domain.get(self._domain)
+        return entry.document.servers_of(place.name) if place else ()
+
+    def _servers(self, entry: CatalogEntry, shard: Shard) -> tuple[Server, ...]:
+        servers = self._local_servers(entry.document.name)
+        return tuple(
+            server
+            for server in servers
+            if self._slots.shard_of(entry.document.name, server.name) == shard
+        )
--- /dev/null
+++ b/src/hibiscushaven/entry/parts.py
@@ -0,0 +1,76 @@
+"""Parts of heartbeats and digests that the entry layer adds."""
+
+from collections import Counter
+from typing import Any
+
+from hibiscushaven.membership import combiner
+
+__all__ = ["MAX_REPORTED_VMS"]
+
+# Beyond this the digest would grow with the failure domain; VMs behind are named first.
+MAX_REPORTED_VMS = 32
+
+
+@combiner("revisions")
+def combine_revisions(values: list[dict[str, dict[str, int]]]) -> dict[str, dict[str, int]]:
+    """Return the revisions in force by VM, those that are behind first.
+
+    Examples
+    ========
+
+    >>> combine_revisions([{"vm-1": {"stock": 3}}, {"vm-2": {"stock": 2}}])
+    {'vm-2': {'stock': 2}, 'vm-1': {'stock': 3}}
+
+    """
+    by_vm = {vm: revisions for value in values for vm, revisions in value.items()}
+    oldest_first = sorted(by_vm.items(), key=lambda item: (sum(item[1].values()), item[0]))
+    return dict(oldest_first[:MAX_REPORTED_VMS])
+
+
+@combiner("crashes")
+def combine_crashes(values: list[dict[str, dict[str, float]]]) -> dict[str, dict[str, float]]:
+    """Return the quarantined fingerprints by service, with the longest time left, in seconds.
+
+    Examples
+    ========
+
+    >>> combine_crashes([{"stock": {"f1": 3.0}}, {"stock": {"f1": 5.0}}])
+    {'stock': {'f1': 5.0}}
+
+    """
+    combined: dict[str, dict[str, Any]] = {}
+    for value in values:
+        for service, fingerprints in value.items():
+            known = combined.setdefault(service, {})
+            for fingerprint, left_s in fingerprints.items():
+                known[fingerprint] = max(left_s, known.get(fingerprint, 0.0))
+    return combined
+
+
+@combiner("leaving")
+def combine_leaving(values: list[list[str]]) -> list[str]:
+    """Return the VMs that say that they leave.
+
+    Examples
+    ========
+
+    >>> combine_leaving([["vm-2"], []])
+    ['vm-2']
+
+    """
+    return sorted({vm for value in values for vm in value})
+
+
+@combiner("down")
+def combine_down(values: list[list[str]]) -> list[str]:
+    """Return the VMs that more than half of the others do not hear.
+
+    Examples
+    ========
+
+    >>> combine_down([["vm-3"], ["vm-3", "vm-1"], []])
+    ['vm-3']
+
+    """
+    counts = Counter(vm for value in values for vm in value)
+    return sorted(vm for vm, count in counts.items() if 2 * count > len(values))
--- /dev/null
+++ b/src/hibiscushaven/entry/router.py
@@ -0,0 +1,183 @@
+"""Way of a caller's request: claim, place, owner of a shard, answer."""
+
+import logging
+from collections.abc import AsyncIterator
+
+from expression import Error, Ok, Result
+
+from hibiscushaven.claims import (
+    Answer,
+    Claim,
+    ClaimError,
+    ClaimKeeper,
+    ClaimRequest,
+    ClaimStateError,
+    Replay,
+    request_fingerprint,
+)
+from hibiscushaven.claims import Outcome as ClaimOutcome
+from hibiscushaven.delivery import AttemptError, Outcome, RelayError
+
+from .clock import boot_time
+from .errors import RouteError
+from .problems import Problem
+from .requests import CallerAnswer, ClassifiedRequest
+from .routes import Routes
+
+__all__ = ["RequestRouter"]
+
+_LOG = logging.getLogger(__name__)
+_MAX_ROUTES = 3
+# Responses of claimed requests up to this size are taken whole before they are passed on, so
+# that the result is kept even when the caller goes away.
+_CLAIMED_BUFFER_BYTES = 1024 * 1024
+_STATUS_BY_REASON = {"quarantined": 503, "deadline-passed": 504}
+_PASSED_HEADERS = frozenset({"content-type", "etag", "location", "last-modified"})
+
+
+class RequestRouter:
+    """Sends classified requests on their way."""
+
+    def __init__(self, claims: ClaimKeeper, routes: Routes) -> None:
+        self._claims = claims
+        self._routes = routes
+
+    async def handle(self, item: ClassifiedRequest) -> Result[CallerAnswer, Problem]:
+        """Return the answer of a backend server, or why there is none."""
+        if item.request_class.is_idempotent:
+            return await self._route(item)
+        return await self._handle_claimed(item)
+
+    async def _handle_claimed(self, item: ClassifiedRequest) -> Result[CallerAnswer, Problem]:
+        request = item.request
+        path, _, query = request.target.partition("?")
+        wanted = ClaimRequest(
+            service=request.service,
+            tenant=item.entry.document.tenant,
+            caller=item.caller_name,
+            key=request.key or "",
+            fingerprint=request_fingerprint(request.method, path, query, request.body),
+        )
+        granted = await self._claims.claim(wanted, item.deadline)
+        if granted.is_error():
+            return Error(_claim_problem(granted.error))
+        if isinstance(granted.ok, Replay):
+            return _replayed(granted.ok)
+        return await self._run_claimed(item, granted.ok)
+
+    async def _run_claimed(
+        self, item: ClassifiedRequest, claim: Claim
+    ) -> Result[CallerAnswer, Problem]:
+        result = await self._route(item, claim)
+        if result.is_error():
+            await self._settle(claim, result.error)
+            return result
+        answer = result.ok
+        body = answer.body
+        parts: list[bytes] = []
+        try:
+            async for chunk in body:
+                parts.append(chunk)
+                if sum(map(len, parts)) > _CLAIMED_BUFFER_BYTES:
+                    rest = self._pass_claimed(claim, parts, body)
+                    return Ok(CallerAnswer(answer.status, answer.headers, rest))
+        except (AttemptError, RelayError) as error:
+            await self._claims.complete(claim, ClaimOutcome.UNKNOWN, None)
+            return Error(Problem(502, "incomplete answer", str(error), Outcome.UNKNOWN.value))
+        whole = b"".join(parts)
+        kept = tuple(pair for pair in answer.headers if pair[0].lower() in _PASSED_HEADERS)
+        kept_answer = Answer(answer.status, kept, whole)
+        await self._claims.complete(claim, ClaimOutcome.RUN, kept_answer)
+        return Ok(CallerAnswer(answer.status, answer.headers, _once(whole)))
+
+    async def _pass_claimed(
+        self, claim: Claim, parts: list[bytes], body: AsyncIterator[bytes]
+    ) -> AsyncIterator[bytes]:
+        is_complete = False
+        try:
+            for part in parts:
+                yield part
+            async for chunk in body:
+                yield chunk
+            is_complete = True
+        finally:
+            outcome = ClaimOutcome.RUN if is_complete else ClaimOutcome.UNKNOWN
+            await self._claims.complete(claim, outcome, None)
+
+    async def _settle(self, claim: Claim, problem: Problem) -> None:
+        """Release a claim whose request was not run; record that nothing is known otherwise."""
+        if problem.outcome == Outcome.NOT_RUN.value:
+            await self._claims.release(claim)
+        else:
+            await self._claims.complete(claim, ClaimOutcome.UNKNOWN, None)
+
+    async def _route(
+        self, item: ClassifiedRequest, claim: Claim | None = None
+    ) -> Result[CallerAnswer, Problem]:
+        self._routes.note_arrival(item)
+        for _ in range(_MAX_ROUTES):
+            domain = self._routes.choose_domain(item)
+            if domain is None:
+                return Error(self._routes.no_place(item))
+            try:
+                if claim is not None:
+                    claim.mark_sent()
+                return Ok(await self._routes.send(item, domain))
+            except ClaimStateError as error:
+                return Error(Problem(504, "deadline passed", str(error)))
+            except RouteError as error:
+                if claim is not None and error.outcome is Outcome.NOT_RUN:
+                    claim.mark_refused()
+                if not self._may_reroute(item, error):
+                    return Error(_route_problem(error))
+                last = error
+                _LOG.info(
+                    "request rerouted",
+                    extra={"request_id": item.request.id, "reason": error.reason},
+                )
+        return Error(_route_problem(last))
+
+    @staticmethod
+    def _may_reroute(item: ClassifiedRequest, error: RouteError) -> bool:
+        if not error.is_route_lost or boot_time() >= item.deadline:
+            return False
+        return error.outcome is Outcome.NOT_RUN or item.request_class.is_idempotent
+
+
+async def _once(data: bytes) -> AsyncIterator[bytes]:
+    yield data
+
+
+def _replayed(replay: Replay) -> Result[CallerAnswer, Problem]:
+    """Return the result of an earlier run."""
+    if replay.outcome is ClaimOutcome.RUN and replay.answer is not None:
+        kept = replay.answer
+        headers = (*kept.headers, ("Idempotent-Replayed", "true"))
+        return Ok(CallerAnswer(kept.status, headers, _once(kept.body)))
+    if replay.outcome is ClaimOutcome.RUN:
+        detail = f"it ran with status {replay.status}; the answer was too large to keep"
+        return Error(Problem(409, "already run", detail, Outcome.RUN.value))
+    detail = "an earlier attempt with this key may have run; it is never run again"
+    return Error(Problem(409, "outcome unknown", detail, Outcome.UNKNOWN.value))
+
+
+def _claim_problem(error: ClaimError) -> Problem:
+    return Problem(
+        error.status,
+        "request not claimed",
+        error.reason,
+        error.outcome.value,
+        error.retry_after_s or None,
+    )
+
+
+def _route_problem(error: RouteError) -> Problem:
+    if error.outcome is Outcome.NOT_RUN:
+        status = _STATUS_BY_REASON.get(error.reason, 503)
+        return Problem(
+            status, "request refused", error.reason, "not-run", error.retry_after_s or 1.0
+        )
+    status = 504 if error.reason == "deadline-passed" else 502
+    return Problem(
+        status, "request failed", error.reason, Outcome.UNKNOWN.value, error.retry_after_s or 1.0
+    )
--- /dev/null
+++ b/src/hibiscushaven/entry/routes.py
@@ -0,0 +1,198 @@
+"""Ways from this VM to the owner of a shard, and the serving end of relayed requests."""
+
+import asyncio
+import logging
+import random
+from collections.abc import AsyncIterator
+
+from hibiscushaven.delivery import (
+    AttemptError,
+    Headers,
+    Outcome,
+    RelayClient,
+    RelayError,
+    RelayRequest,
+    RelayResponse,
+    Responder,
+)
+from hibiscushaven.dispatch import Work
+from hibiscushaven.documents import DocumentCatalog
+from hibiscushaven.ini.fields import Endpoint
+from hibiscushaven.peers import Lane, PeerLink
+
+from .clock import boot_time
+from .errors import RouteError
+from .neighbours import Neighbours
+from .owners import ShardOwners
+from .problems import Problem
+from .requests import CallerAnswer, ClassifiedRequest
+from .shard_runner import BackendAnswer, Job, WorkRefusedError
+from .steering import Steering
+
+__all__ = ["Routes"]
+
+_LOG = logging.getLogger(__name__)
+_OWNER_CHANGED = "owner-changed"
+_NO_OWNER = "no-owner"
+_RETRY_NO_OWNER_S = 1.0
+
+
+class Routes:
+    """Sends requests to owners, here or on other VMs."""
+
+    def __init__(
+        self,
+        catalog: DocumentCatalog,
+        neighbours: Neighbours,
+        owners: ShardOwners,
+        steering: Steering,
+        relay: RelayClient,
+        rng: random.Random,
+    ) -> None:
+        self._catalog = catalog
+        self._neighbours = neighbours
+        self._owners = owners
+        self._steering = steering
+        self._relay = relay
+        self._rng = rng
+
+    def choose_domain(self, item: ClassifiedRequest) -> str | None:
+        """Return the failure domain whose place takes a request, or ``None``.
+
+        A request that is sent another way follows the shares again, so that a lost way moves
+        no more traffic than the shift cap allows.
+        """
+        return self._steering.choose(item.request.service)
+
+    def note_arrival(self, item: ClassifiedRequest) -> None:
+        """Count a caller's request."""
+        self._steering.note_arrival(item.request.service)
+
+    def no_place(self, item: ClassifiedRequest) -> Problem:
+        """Return the refusal of a request that no place may take now."""
+        retry_after_s = self._steering.retry_after_s(item.request.service)
+        return Problem(
+            503,
+            "no place may take the request",
+            "traffic is still moving between places",
+            "not-run",
+            retry_after_s,
+        )
+
+    async def send(self, item: ClassifiedRequest, domain: str) -> CallerAnswer:
+        """Run a request in a failure domain and return its answer.
+
+        :raises RouteError: when there is none.
+        """
+        request, request_class = item.request, item.request_class
+        relayed = RelayRequest(
+            service=request.service,
+            place=domain,
+            tenant=item.entry.document.tenant,
+            caller=item.caller_name,
+            request_id=request.id,
+            method=request.method,
+            target=request.target,
+            headers=request.headers,
+            body=request.body,
+            attributes=(("class", request_class.name), ("from", self._neighbours.domain)),
+        )
+        return await self._pass(relayed, item.deadline, is_long=request_class.is_long)
+
+    async def serve(self, link: PeerLink, request: RelayRequest, responder: Responder) -> None:
+        """Serve a relayed request: run it here if this VM owns a shard, else send it on."""
+        loop = asyncio.get_running_loop()
+        deadline = boot_time() + responder.deadline - loop.time()
+        try:
+            answer = await self._pass(request, deadline, is_long=link.lane is Lane.BULK)
+        except RouteError as error:
+            # A refusal has a time to come back; its absence tells the sender that the way
+            # failed and not the shard.
+            retry_after_s = None if error.is_route_lost else error.retry_after_s or 1.0
+            await responder.fail(error.outcome, error.reason, retry_after_s)
+            return
+        try:
+            await responder.head(answer.status, answer.headers)
+            async for chunk in answer.body:
+                await responder.chunk(chunk)
+        except (AttemptError, RelayError) as error:
+            await responder.fail(Outcome.UNKNOWN, str(error), 1.0)
+            return
+        await responder.end()
+
+    async def _pass(self, request: RelayRequest, deadline: float, is_long: bool) -> CallerAnswer:
+        if request.place == self._neighbours.domain:
+            shard = self._owners.pick_shard(request.service, self._rng)
+            runner = self._owners.runner(shard)
+            if runner is not None:
+                return await self._run(request, deadline)
+            endpoint = self._owners.owner_endpoint(shard)
+        else:
+            endpoint = self._neighbours.gateway(request.place, self._rng)
+        if endpoint is None:
+            raise RouteError(Outcome.NOT_RUN, _NO_OWNER, _RETRY_NO_OWNER_S)
+        return await self._send_on(endpoint, request, deadline, is_long)
+
+    async def _send_on(
+        self, endpoint: Endpoint, request: RelayRequest, deadline: float, is_long: bool
+    ) -> CallerAnswer:
+        lane = Lane.BULK if is_long else Lane.SHORT
+        loop_deadline = asyncio.get_running_loop().time() + deadline - boot_time()
+        try:
+            response = await self._relay.request(endpoint, lane, request, loop_deadline)
+        except RelayError as error:
+            is_lost = error.retry_after_s is None
+            raise RouteError(error.outcome, error.reason, error.retry_after_s, is_lost) from error
+        return CallerAnswer(response.status, response.headers, _read_relayed(response))
+
+    async def _run(self, request: RelayRequest, deadline: float) -> CallerAnswer:
+        shard = self._owners.pick_owned_shard(request.service, self._rng)
+        runner = self._owners.runner(shard)
+        work = self._work(request, deadline)
+        if runner is None or work is None:
+            raise RouteError(Outcome.NOT_RUN, _OWNER_CHANGED, None, is_route_lost=True)
+        if work.is_foreign and not self._steering.admit_foreign(request.service):
+            raise RouteError(Outcome.NOT_RUN, "share-of-place", 1.0)
+        job = Job(work, request.method, request.target, request.headers, request.body)
+        try:
+            answer = await runner.run(job)
+        except WorkRefusedError as error:
+            is_lost = error.reason == _OWNER_CHANGED
+            raise RouteError(error.outcome, error.reason, error.retry_after_s, is_lost) from error
+        return CallerAnswer(answer.status, answer.headers, _read_backend(answer))
+
+    def _work(self, request: RelayRequest, deadline: float) -> Work | None:
+        entry = self._catalog.get(request.service)
+        attributes = dict(request.attributes)
+        request_class = entry and entry.document.class_named(attributes.get("class", ""))
+        if request_class is None:
+            return None
+        shares = {caller.name: caller.share for caller in entry.document.callers}
+        return Work(
+            id=request.request_id,
+            service=request.service,
+            tenant=request.tenant,
+            caller=request.caller,
+            caller_share=shares.get(request.caller, 1.0),
+            request_class=request_class,
+            deadline=min(deadline, boot_time() + request_class.deadline_ms / 1000),
+            fingerprint=self._owners.fingerprint(request),
+            is_foreign=attributes.get("from") != self._neighbours.domain,
+            path=request.target.partition("?")[0],
+        )
+
+
+async def _read_backend(answer: BackendAnswer) -> AsyncIterator[bytes]:
+    try:
+        async for chunk in answer:
+            yield chunk
+    finally:
+        await answer.close()
+
+
+async def _read_relayed(response: RelayResponse) -> AsyncIterator[bytes]:
+    try:
+        async for chunk in response:
+            yield chunk
+    finally:
+        response.close()
--- /dev/null
+++ b/src/hibiscushaven/entry/shard_runner.py
@@ -0,0 +1,398 @@
+"""Carries out what the dispatcher of an owned shard decides."""
+
+import asyncio
+import logging
+from collections.abc import AsyncIterator, Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+
+from hibiscushaven.delivery import (
+    AttemptError,
+    AttemptHead,
+    AttemptRequest,
+    BackendClient,
+    Headers,
+    Outcome,
+    Stop,
+)
+from hibiscushaven.dispatch import (
+    Action,
+    AttemptResult,
+    CancelAttempt,
+    Dispatcher,
+    Finish,
+    Refuse,
+    ResultKind,
+    StartAttempt,
+    Work,
+)
+from hibiscushaven.documents import Server, ServiceDocument
+
+from .clock import boot_time, unix_ms
+
+__all__ = ["BackendAnswer", "Job", "ShardRunner", "WorkRefusedError"]
+
+_LOG = logging.getLogger(__name__)
+
+# Responses up to this size are read before they are passed on: the slot does not wait for a
+# slow caller, and a truncated one can be retried.
+BUFFERED_BYTES = 64 * 1024
+
+_RESULTS = {
+    Stop.INVALID: ResultKind.NOT_SENT,
+    Stop.NOT_CONNECTED: ResultKind.NOT_SENT,
+    Stop.NO_FREE_CONNECTION: ResultKind.NOT_SENT,
+    Stop.DEADLINE_BEFORE_SENDING: ResultKind.NOT_SENT,
+    Stop.GUARD_REFUSED: ResultKind.CANCELLED,
+    Stop.REFUSED: ResultKind.REFUSED,
+    Stop.DEADLINE: ResultKind.TIMED_OUT,
+    Stop.SILENT: ResultKind.TIMED_OUT,
+    Stop.CONNECTION_LOST: ResultKind.CRASHED,
+    Stop.MALFORMED: ResultKind.FAILED,
+    Stop.WRONG_ATTEMPT_ID: ResultKind.WRONG_ID,
+    Stop.TRUNCATED: ResultKind.TRUNCATED,
+}
+
+
+class WorkRefusedError(Exception):
+    """The shard gave up a request."""
+
+    def __init__(self, outcome: Outcome, reason: str, retry_after_s: float) -> None:
+        super().__init__(f"{outcome.value}: {reason}")
+        self.outcome = outcome
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
+@dataclass(slots=True)
+class Job:
+    """A request to be run on one of the shard's backend servers."""
+
+    work: Work
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    answer: asyncio.Future["BackendAnswer"] = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.answer = asyncio.get_running_loop().create_future()
+
+
+class BackendAnswer:
+    """A response whose body is read once, by iteration, and has to be closed."""
+
+    def __init__(
+        self,
+        head: AttemptHead,
+        buffered: bytes | None,
+        on_end: Callable[[AttemptResult], None],
+    ) -> None:
+        self.status = head.status
+        self.headers = head.headers
+        self._head = head
+        self._buffered = buffered
+        self._on_end = on_end
+
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        """Yield the body; return only if it was complete.
+
+        :raises AttemptError: when it was not.
+        """
+        if self._buffered is not None:
+            yield self._buffered
+            return
+        try:
+            async for chunk in self._head:
+                yield chunk
+        except AttemptError as error:
+            self._on_end(AttemptResult(_RESULTS[error.stop]))
+            raise
+        self._on_end(AttemptResult(ResultKind.SUCCESS, self._head.bytes_received))
+
+    async def close(self) -> None:
+        """Give up the rest of the body, if there is one."""
+        if self._buffered is None:
+            await self._head.close()
+
+
+@dataclass(slots=True)
+class _Attempt:
+    start: StartAttempt
+    job: Job
+    server: Server
+    task: asyncio.Task[None] | None = None
+    head: AttemptHead | None = None
+    buffered: bytes | None = None
+    is_sent: bool = False
+    is_ended: bool = False
+
+
+class ShardRunner:
+    """Runs jobs on the backend servers of one shard.
+
+    :param loan_expiry: time until which a token may start a request.
+    """
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        client: BackendClient,
+        loan_expiry: Callable[[float, object], float],
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._client = client
+        self._loan_expiry = loan_expiry
+        self._document: ServiceDocument | None = None
+        self._servers: dict[str, Server] = {}
+        self._jobs: dict[str, Job] = {}
+        self._attempts: dict[str, _Attempt] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._timer: asyncio.TimerHandle | None = None
+
+    @property
+    def dispatcher(self) -> Dispatcher:
+        return self._dispatcher
+
+    @property
+    def is_idle(self) -> bool:
+        return not self._jobs and not self._attempts
+
+    @property
+    def servers(self) -> tuple[Server, ...]:
+        return tuple(self._servers.values())
+
+    def set_document(self, document: ServiceDocument, servers: tuple[Server, ...]) -> None:
+        """Put a document in force."""
+        self._document = document
+        self._servers = {server.name: server for server in servers}
+        self._carry_out(self._dispatcher.set_document(boot_time(), document, servers))
+
+    def report_load(self, server: str, in_progress: int, age_s: float) -> None:
+        """Pass on a backend server's own report."""
+        self._carry_out(self._dispatcher.load_report(boot_time(), server, in_progress, age_s))
+
+    def set_foreign_limit(self, limit: int | None) -> None:
+        """Limit the work of other failure domains."""
+        self._carry_out(self._dispatcher.set_foreign_limit(boot_time(), limit))
+
+    def quarantined(self, now: float) -> Mapping[str, float]:
+        """Return the fingerprints refused here, with the seconds that are left."""
+        return self._dispatcher.crashes.export(now)
+
+    def merge_quarantined(self, now: float, fingerprints: Mapping[str, float]) -> None:
+        """Refuse fingerprints that crashed backend servers elsewhere."""
+        if fingerprints:
+            self._dispatcher.crashes.merge(now, fingerprints)
+
+    def describe(self) -> dict[str, object]:
+        """Return the state for operators."""
+        snapshot = self._dispatcher.snapshot(boot_time())
+        return {
+            "queued": {size.value: count for size, count in snapshot.queued.items()},
+            "in_progress": dict(snapshot.in_progress),
+            "free_slots": snapshot.free_slots,
+            "set_aside": list(snapshot.set_aside),
+            "quarantined": snapshot.quarantined,
+        }
+
+    async def run(self, job: Job) -> BackendAnswer:
+        """Run a job and return its response.
+
+        :raises WorkRefusedError: when the shard gives it up.
+        """
+        self._jobs[job.work.id] = job
+        self._carry_out(self._dispatcher.submit(boot_time(), job.work))
+        try:
+            return await job.answer
+        except asyncio.CancelledError:
+            self._carry_out(self._dispatcher.cancel(boot_time(), job.work.id))
+            raise
+        finally:
+            self._jobs.pop(job.work.id, None)
+
+    def retire(self) -> None:
+        """Give up what has not started, since the shard has another owner now."""
+        started = {attempt.job.work.id for attempt in self._attempts.values()}
+        for work_id, job in tuple(self._jobs.items()):
+            if work_id not in started and not job.answer.done():
+                job.answer.set_exception(WorkRefusedError(Outcome.NOT_RUN, "owner-changed", 0.1))
+                self._carry_out(self._dispatcher.cancel(boot_time(), work_id))
+
+    async def close(self) -> None:
+        """Cancel what is in progress."""
+        if self._timer is not None:
+            self._timer.cancel()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _carry_out(self, actions: Iterable[Action]) -> None:
+        for action in actions:
+            match action:
+                case StartAttempt():
+                    self._start(action)
+                case CancelAttempt():
+                    self._cancel(action)
+                case Refuse():
+                    self._refuse(action)
+                case Finish():
+                    self._finish(action)
+        self._arm()
+
+    def _arm(self) -> None:
+        """Set the timer for the next thing that time brings."""
+        if self._timer is not None:
+            self._timer.cancel()
+        now = boot_time()
+        due = self._dispatcher.next_due(now)
+        if due == float("inf"):
+            self._timer = None
+            return
+        # A millisecond at least, so that a dispatcher that is always due yields the loop.
+        delay = max(0.001, due - now)
+        self._timer = asyncio.get_running_loop().call_later(delay, self._tick)
+
+    def _tick(self) -> None:
+        self._carry_out(self._dispatcher.tick(boot_time()))
+
+    def _start(self, start: StartAttempt) -> None:
+        job = self._jobs.get(start.work_id)
+        server = self._servers.get(start.server)
+        if job is None or server is None:
+            result = AttemptResult(ResultKind.NOT_SENT)
+            self._later(lambda: self._dispatcher.attempt_ended(boot_time(), start.attempt_id, result))
+            return
+        attempt = _Attempt(start, job, server)
+        self._attempts[start.attempt_id] = attempt
+        attempt.task = self._spawn(self._attempt(attempt))
+
+    def _later(self, event: Callable[[], list[Action]]) -> None:
+        asyncio.get_running_loop().call_soon(lambda: self._carry_out(event()))
+
+    def _cancel(self, action: CancelAttempt) -> None:
+        attempt = self._attempts.get(action.attempt_id)
+        if attempt is None or attempt.is_ended:
+            return
+        if attempt.task is not None and not attempt.task.done():
+            attempt.task.cancel()
+        else:
+            self._spawn(self._abandon(attempt))
+
+    def _refuse(self, action: Refuse) -> None:
+        job = self._jobs.get(action.work_id)
+        if job is not None and not job.answer.done():
+            outcome = Outcome(action.outcome.value)
+            error = WorkRefusedError(outcome, action.reason.value, action.retry_after_s)
+            job.answer.set_exception(error)
+
+    def _finish(self, action: Finish) -> None:
+        attempt = self._attempts.get(action.attempt_id)
+        if attempt is None or attempt.head is None:
+            return
+        if attempt.job.answer.done():
+            self._spawn(self._abandon(attempt))
+            return
+        answer = BackendAnswer(
+            attempt.head, attempt.buffered, lambda result: self._end(attempt, result)
+        )
+        attempt.job.answer.set_result(answer)
+
+    async def _attempt(self, attempt: _Attempt) -> None:
+        try:
+            attempt.head = await self._client.attempt(self._request(attempt))
+            await self._receive(attempt, attempt.head)
+        except AttemptError as error:
+            _LOG.info(
+                "attempt failed",
+                extra={
+                    "server": attempt.server.name,
+                    "stop": error.stop.value,
+                    "request_id": attempt.job.work.id,
+                },
+            )
+            self._end(attempt, AttemptResult(_RESULTS[error.stop]))
+        except asyncio.CancelledError:
+            # The task ends here; what remains is done by a task of its own.
+            self._spawn(self._abandon(attempt))
+
+    async def _receive(self, attempt: _Attempt, head: AttemptHead) -> None:
+        length = head.content_length
+        is_small = length is not None and length <= BUFFERED_BYTES
+        is_retryable = is_small and attempt.job.work.is_idempotent
+        self._carry_out(
+            self._dispatcher.attempt_head(boot_time(), attempt.start.attempt_id, is_retryable)
+        )
+        if is_retryable and not attempt.is_ended:
+            attempt.buffered = await head.read(BUFFERED_BYTES)
+            self._end(attempt, AttemptResult(ResultKind.SUCCESS, head.bytes_received))
+
+    async def _abandon(self, attempt: _Attempt) -> None:
+        """Stop an attempt and ask its backend server whether it stopped."""
+        if attempt.is_ended:
+            return
+        if attempt.head is not None:
+            await attempt.head.close()
+        is_stopped = True
+        if attempt.is_sent:
+            is_stopped = await self._client.cancel(
+                attempt.server.address, attempt.start.attempt_id, attempt.job.work.tenant
+            )
+        self._end(attempt, AttemptResult(ResultKind.CANCELLED, 0, is_stopped))
+
+    def _end(self, attempt: _Attempt, result: AttemptResult) -> None:
+        if attempt.is_ended:
+            return
+        attempt.is_ended = True
+        self._carry_out(
+            self._dispatcher.attempt_ended(boot_time(), attempt.start.attempt_id, result)
+        )
+        self._attempts.pop(attempt.start.attempt_id, None)
+
+    def _request(self, attempt: _Attempt) -> AttemptRequest:
+        now = boot_time()
+        start, job = attempt.start, attempt.job
+        loop_time = asyncio.get_running_loop().time()
+        left_s = self._loan_expiry(now, start.token) - now
+        return AttemptRequest(
+            server=attempt.server.address,
+            method=job.method,
+            target=job.target,
+            attempt_id=start.attempt_id,
+            deadline=loop_time + job.work.deadline - now,
+            headers=job.headers,
+            body=job.body,
+            start_by_unix_ms=unix_ms() + int(left_s * 1000),
+            use_new_connection=start.use_new_connection,
+            guard=lambda: self._may_write(attempt),
+            head_timeout_s=_head_timeout_s(job.work, now),
+            tenant=job.work.tenant,
+        )
+
+    def _may_write(self, attempt: _Attempt) -> bool:
+        """Ask the dispatcher again, now that there is a connection."""
+        own_id = attempt.start.attempt_id
+        actions = self._dispatcher.attempt_started(boot_time(), own_id)
+        others = [
+            item
+            for item in actions
+            if not (isinstance(item, CancelAttempt) and item.attempt_id == own_id)
+        ]
+        attempt.is_sent = len(others) == len(actions)
+        self._carry_out(others)
+        return attempt.is_sent
+
+    def _spawn(self, work) -> asyncio.Task[None]:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+
+def _head_timeout_s(work: Work, now: float) -> float:
+    """Return how long to wait for the first byte, in seconds.
+
+    Half of the time left, if the request may be sent again over a new connection: the first
+    one may be silent.
+    """
+    left_s = work.deadline - now
+    return left_s / 2 if work.is_idempotent else left_s
--- a/src/hibiscushaven/ini/fields.py
+++ b/src/hibiscushaven/ini/fields.py
@@ -15,6 +15,7 @@
     "choice",
     "digest",
     "endpoint",
+    "host",
     "integer",
     "number",
     "text",
@@ -157,6 +158,11 @@
     return Kind(parse, "an IP number and a port, such as 127.0.0.1:8000")
 
 
+def host() -> Kind:
+    """Return the kind of IP numbers."""
+    return Kind(lambda value: str(ipaddress.ip_address(value)), "an IP number")
+
+
 def digest() -> Kind:
     """Return the kind of SHA-256 digests in hexadecimal."""
     return text(r"[0-9a-f]{64}", "a SHA-256 digest of 64 hexadecimal digits")
--- a/src/hibiscushaven/platform/http.py
+++ b/src/hibiscushaven/platform/http.py
@@ -49,7 +49,7 @@
 
     async def list_vms(self) -> tuple[VmEntry, ...]:
         answer = await self._read("/vms", {})
-        return tuple(VmEntry(*row[:5], VmState(row[5])) for row in answer["vms"])
+        return tuple(VmEntry(*row[:5], VmState(row[5]), *row[6:7]) for row in answer["vms"])
 
     def _open(self) -> aiohttp.ClientSession:
         if self._session is None:
--- a/src/hibiscushaven/platform/port.py
+++ b/src/hibiscushaven/platform/port.py
@@ -74,7 +74,10 @@
 
 @dataclass(frozen=True, slots=True)
 class VmEntry:
-    """A VM of the platform's list."""
+    """A VM of the platform's list.
+
+    :ivar http_port: port of its HTTP interface for callers and operators.
+    """
 
     name: str
     failure_domain: str
@@ -82,6 +85,7 @@
     host: str
     peer_port: int
     state: VmState
+    http_port: int = 8080
 
 
 class Table(Protocol):
--- a/src/hibiscushaven/settings/__init__.py
+++ b/src/hibiscushaven/settings/__init__.py
@@ -1,5 +1,17 @@
-"""Settings of one VM."""
+"""Settings of one VM, and of a whole deployment for demos and tests."""
 
-from .vm import Settings, load_settings, parse_settings
+from .deployment import Deployment, FailureDomain, parse_deployment, settings_for
+from .files import load_deployment, load_settings
+from .vm import LogSettings, Settings, parse_settings
 
-__all__ = ["Settings", "load_settings", "parse_settings"]
+__all__ = [
+    "Deployment",
+    "FailureDomain",
+    "LogSettings",
+    "Settings",
+    "load_deployment",
+    "load_settings",
+    "parse_deployment",
+    "parse_settings",
+    "settings_for",
+]
--- /dev/null
+++ b/src/hibiscushaven/settings/files.py
@@ -0,0 +1,48 @@
+"""Reading of settings files."""
+
+from pathlib import Path
+
+from expression import Error, Result
+
+from hibiscushaven.ini import IniProblem
+
+from .deployment import Deployment, is_deployment, parse_deployment, settings_for
+from .vm import Settings, parse_settings
+
+__all__ = ["load_deployment", "load_settings"]
+
+Problems = tuple[IniProblem, ...]
+
+
+def load_settings(path: str, vm: str | None = None) -> Result[Settings, Problems]:
+    """Read the settings of one VM from its own file, or from a deployment's.
+
+    :param vm: name of the VM, which a deployment file needs.
+    """
+    source = _read(path)
+    if source is None:
+        return Error((IniProblem("file", "", path, "a text in UTF-8"),))
+    if not is_deployment(source):
+        if vm is not None:
+            return Error((IniProblem("file", "", path, "a deployment file, since a VM is named"),))
+        return parse_settings(source)
+    if vm is None:
+        return Error((IniProblem("vm", "name", None, "the name of a VM of the deployment"),))
+    return parse_deployment(source, Path(path).parent).bind(
+        lambda deployment: settings_for(deployment, vm)
+    )
+
+
+def load_deployment(path: str) -> Result[Deployment, Problems]:
+    """Read a deployment file."""
+    source = _read(path)
+    if source is None:
+        return Error((IniProblem("file", "", path, "a text in UTF-8"),))
+    return parse_deployment(source, Path(path).parent)
+
+
+def _read(path: str) -> str | None:
+    try:
+        return Path(path).read_text(encoding="utf-8")
+    except UnicodeDecodeError:
+        return None
--- a/src/hibiscushaven/settings/vm.py
+++ b/src/hibiscushaven/settings/vm.py
@@ -1,39 +1,65 @@
 """Settings of one VM, read from an INI file."""
 
 from dataclasses import dataclass
-from pathlib import Path
 
 from expression import Error, Ok, Result
 
 from hibiscushaven.ini import Field, IniProblem, choice, integer, number, read_sections, text
-from hibiscushaven.ini.fields import Endpoint, endpoint
+from hibiscushaven.ini.fields import Endpoint, endpoint, host
 
-__all__ = ["Settings", "load_settings", "parse_settings"]
+__all__ = ["COMMON_LAYOUT", "LogSettings", "Settings", "common_settings", "parse_settings"]
 
-_LAYOUT = {
-    "vm": (
-        Field("name", text()),
-        Field("region", text()),
-        Field("failure_domain", text()),
-        Field("host", text(r"[0-9a-fA-F.:]+", "an IP number")),
-        Field("http_port", integer(1, 65535)),
-        Field("peer_port", integer(1, 65535)),
-    ),
+_NAME = text()
+
+COMMON_LAYOUT = {
     "platform": (
-        Field("url", text(r"https?://\S+", "an HTTP address")),
+        Field("url", text(r"https?://\S+", "an address such as http://127.0.0.1:7000")),
         Field("timeout_s", number(0.05, 60), 2.0, False),
     ),
-    "peers": (Field("seeds", text(r"[0-9a-fA-F.:\[\] ]*", "IP numbers and ports"), "", False),),
     "log": (
         Field("level", choice("debug", "info", "warning", "error"), "info", False),
         Field("format", choice("json", "text"), "json", False),
     ),
+    "limits": (
+        Field("max_body_bytes", integer(1, 1024 * 1024), 1024 * 1024, False),
+        Field("max_requests", integer(1, 100_000), 2000, False),
+    ),
 }
 
+_LAYOUT = {
+    "vm": (
+        Field("name", _NAME),
+        Field("region", _NAME),
+        Field("failure_domain", _NAME),
+        Field("host", host()),
+        Field("http_port", integer(1, 65535), 8080, False),
+        Field("peer_port", integer(1, 65535), 7070, False),
+    ),
+    "peers": (
+        Field("seeds", text(r"[0-9a-fA-F.:\[\] \n]*", "IP numbers and ports"), "", False),
+    ),
+    **COMMON_LAYOUT,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class LogSettings:
+    """What is logged, and how.
+
+    :ivar format: ``json`` or ``text``.
+    """
+
+    level: str = "info"
+    format: str = "json"
+
 
 @dataclass(frozen=True, slots=True)
 class Settings:
-    """Settings of one VM."""
+    """Settings of one VM.
+
+    :ivar seeds: peers that are asked until the platform's list answers.
+    :ivar max_requests: most requests of callers in progress on this VM.
+    """
 
     name: str
     region: str
@@ -42,34 +68,58 @@
     http_port: int
     peer_port: int
     platform_url: str
-    platform_timeout_s: float
-    seeds: tuple[Endpoint, ...]
-    log_level: str
-    log_format: str
+    platform_timeout_s: float = 2.0
+    seeds: tuple[Endpoint, ...] = ()
+    log: LogSettings = LogSettings()
+    max_body_bytes: int = 1024 * 1024
+    max_requests: int = 2000
 
 
-def load_settings(path: str) -> Result[Settings, tuple[IniProblem, ...]]:
-    """Read the settings of a file."""
-    return parse_settings(Path(path).read_text(encoding="utf-8"))
+def parse_settings(source: str) -> Result[Settings, tuple[IniProblem, ...]]:
+    """Parse the settings of one VM, reporting every problem at once.
 
+    Examples
+    ========
 
-def parse_settings(source: str) -> Result[Settings, tuple[IniProblem, ...]]:
-    """Parse settings, reporting every problem at once."""
+    >>> [str(problem) for problem in parse_settings("[vm]\\nname = a b").error][0]
+    "[vm] name = 'a b': expected letters, digits, '.', '_' and '-'"
+
+    """
     sections, problems = read_sections(source, _LAYOUT)
-    found = {section.kind: section.values for section in sections}
+    found = {section.title: section.values for section in sections}
     missing = [kind for kind in ("vm", "platform") if kind not in found]
     problems += tuple(IniProblem(kind, "", None, "this section") for kind in missing)
+    seeds = found.get("peers", {}).get("seeds", "").split()
+    problems += tuple(_seed_problems(seeds))
+    if not problems and found["vm"]["http_port"] == found["vm"]["peer_port"]:
+        port = str(found["vm"]["peer_port"])
+        problems = (IniProblem("vm", "peer_port", port, "a port other than http_port"),)
     if problems:
         return Error(problems)
-    seeds = found.get("peers", {}).get("seeds", "").split()
-    log = found.get("log", {"level": "info", "format": "json"})
     return Ok(
         Settings(
             **found["vm"],
-            platform_url=found["platform"]["url"],
-            platform_timeout_s=found["platform"]["timeout_s"],
             seeds=tuple(endpoint().parse(seed) for seed in seeds),
-            log_level=log["level"],
-            log_format=log["format"],
+            **common_settings(found),
         )
     )
+
+
+def common_settings(found: dict) -> dict:
+    """Return the settings that a VM's file and a deployment file share."""
+    platform, limits = found["platform"], found.get("limits", {})
+    return {
+        "platform_url": platform["url"],
+        "platform_timeout_s": platform["timeout_s"],
+        "log": LogSettings(**found.get("log", {})),
+        **limits,
+    }
+
+
+def _seed_problems(seeds: list[str]):
+    kind = endpoint()
+    for seed in seeds:
+        try:
+            kind.parse(seed)
+        except ValueError:
+            yield IniProblem("peers", "seeds", seed, kind.allowed)
