Add membership and slot tokens

Cause: dispatch needs to know who is up, who owns a shard and which requests may start. Ruled out: lending tokens by identity (renewals would list every token) and one token kind for slots with a fixed subset for the place's capacity (revisions of a document that differ between VMs would count a place twice). Change: heartbeats, link reports, digests; roster, homes, lender, borrower, settled versions, fence after a pause, roster keeper.

--- /dev/null
+++ b/src/hibiscushaven/membership/digests.py
@@ -0,0 +1,91 @@
+"""Digests between failure domains: sending, receiving and spreading inside the own one."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field, replace
+
+from hibiscushaven.ini.fields import Endpoint
+from hibiscushaven.peers import encode
+
+from .messages import Digest, Outgoing
+from .view import DomainDigest
+
+__all__ = ["DIGEST_S", "DigestBook"]
+
+DIGEST_S = 1.0
+
+# Bound on what a VM spends on spreading digests inside its failure domain; with more failure
+# domains the digests get older instead of the traffic growing.
+_SPREAD_BYTES_PER_S = 1_000.0
+_SPREAD_BURST_BYTES = 2_000.0
+
+
+@dataclass(slots=True)
+class _Known:
+    digest: Digest
+    received_at: float
+    seqs: dict[str, int] = field(default_factory=dict)
+    holders: set[str] = field(default_factory=set)
+
+    def age(self, now: float) -> float:
+        return self.digest.age_s + now - self.received_at
+
+
+class DigestBook:
+    """The latest digest of each other failure domain."""
+
+    def __init__(self) -> None:
+        self._known: dict[str, _Known] = {}
+        self._queue: dict[str, None] = {}
+        self._budget = _SPREAD_BURST_BYTES
+        self._spread_at: float | None = None
+
+    def receive(self, now: float, sender_vm: str, digest: Digest) -> bool:
+        """Take a digest; return whether it is newer than the one known."""
+        known = self._known.get(digest.domain)
+        seqs = known.seqs if known is not None else {}
+        if digest.seq <= seqs.get(digest.relay, -1):
+            if known is not None and known.digest.relay == digest.relay:
+                known.holders.add(sender_vm)
+            return False
+        # Only the current relays' numbers are needed; old incarnations are dropped.
+        seqs = dict([*seqs.items(), (digest.relay, digest.seq)][-4:])
+        seqs[digest.relay] = digest.seq
+        if known is not None and known.age(now) < digest.age_s:
+            known.seqs = seqs
+            return False
+        self._known[digest.domain] = _Known(digest, now, seqs, {sender_vm})
+        self._queue[digest.domain] = None
+        return True
+
+    def latest(self, now: float) -> dict[str, DomainDigest]:
+        return {domain: self.get(now, domain) for domain in self._known}
+
+    def get(self, now: float, domain: str) -> DomainDigest | None:
+        known = self._known.get(domain)
+        if known is None:
+            return None
+        relays = tuple(Endpoint(*relay) for relay in known.digest.relays)
+        return DomainDigest(domain, known.age(now), relays, known.digest.parts)
+
+    def spread(self, now: float, neighbours: dict[str, Endpoint]) -> Iterator[Outgoing]:
+        """Pass new digests to neighbours that may lack them, within the byte rate."""
+        if self._spread_at is not None:
+            earned = (now - self._spread_at) * _SPREAD_BYTES_PER_S
+            self._budget = min(_SPREAD_BURST_BYTES, self._budget + earned)
+        self._spread_at = now
+        for domain in list(self._queue):
+            known = self._known[domain]
+            digest = replace(known.digest, age_s=known.age(now))
+            size = len(encode(digest))
+            for vm in sorted(neighbours.keys() - known.holders):
+                if self._budget < 0:
+                    return
+                self._budget -= size
+                known.holders.add(vm)
+                yield Outgoing(neighbours[vm], digest)
+            del self._queue[domain]
+
+    def forget_queue(self, domains: Iterable[str]) -> None:
+        """Do not spread these digests."""
+        for domain in domains:
+            self._queue.pop(domain, None)
--- /dev/null
+++ b/src/hibiscushaven/membership/mesh.py
@@ -0,0 +1,52 @@
+"""Who exchanges heartbeats with whom, and who the relays are."""
+
+from collections.abc import Iterable
+from functools import lru_cache
+
+import xxhash
+
+__all__ = ["FULL_MESH_VMS", "RELAYS", "neighbours_of", "rank", "relays_of"]
+
+FULL_MESH_VMS = 8
+RELAYS = 2
+
+# Two neighbours on each of four independently hashed rings make up to eight links that both
+# ends agree on. Taking the top eight by rendezvous hash instead is not symmetric.
+_RINGS = 4
+
+
+def rank(key: str, names: Iterable[str]) -> list[str]:
+    """Return names by falling rendezvous weight for a key.
+
+    Examples
+    ========
+
+    >>> sorted(rank("key", ["a", "b"]))
+    ['a', 'b']
+
+    """
+    return sorted(names, key=lambda name: (-_weight(key, name), name))
+
+
+def relays_of(domain: str, names: Iterable[str]) -> list[str]:
+    """Return the relays of a failure domain among its VMs."""
+    return rank(f"relay/{domain}", names)[:RELAYS]
+
+
+@lru_cache(maxsize=64)
+def neighbours_of(names: frozenset[str]) -> dict[str, frozenset[str]]:
+    """Return the neighbours of each VM of a failure domain; the relation is symmetric."""
+    if len(names) <= FULL_MESH_VMS:
+        return {name: names - {name} for name in names}
+    links: dict[str, set[str]] = {name: set() for name in names}
+    for number in range(_RINGS):
+        ring = rank(f"ring/{number}", names)
+        for left, right in zip(ring, ring[1:] + ring[:1], strict=True):
+            links[left].add(right)
+            links[right].add(left)
+    return {name: frozenset(others) for name, others in links.items()}
+
+
+@lru_cache(maxsize=65536)
+def _weight(key: str, name: str) -> int:
+    return xxhash.xxh64_intdigest(f"{key}\0{name}".encode())
--- /dev/null
+++ b/src/hibiscushaven/membership/reports.py
@@ -0,0 +1,81 @@
+"""Link reports of a failure domain too large for a full mesh, and who is reachable by them."""
+
+from collections import deque
+from collections.abc import Iterable
+
+from .mesh import neighbours_of
+from .messages import Report
+
+__all__ = ["ReportBook"]
+
+
+class ReportBook:
+    """The newest report of each VM.
+
+    Explanation
+    ===========
+
+    A VM is reachable when a chain of links leads to it, none of which is reported missing by
+    either of its ends. So a dead VM, or the far half of a divided failure domain, is
+    unreachable as soon as the near ends of its links have reported.
+    """
+
+    def __init__(self, own_vm: str) -> None:
+        self._own_vm = own_vm
+        self._reports: dict[str, Report] = {}
+        self._rotation: deque[str] = deque()
+
+    @property
+    def reports(self) -> dict[str, Report]:
+        return self._reports
+
+    def offer(self, report: Report) -> bool:
+        """Take a report; return whether it is news.
+
+        A new incarnation that sees a report of an old one continues from its number, so
+        numbers order the reports of all incarnations of a VM.
+        """
+        known = self._reports.get(report.vm)
+        if known is not None and _order(report) <= _order(known):
+            return False
+        if known is None:
+            self._rotation.append(report.vm)
+        self._reports[report.vm] = report
+        return True
+
+    def drop(self, vm: str) -> None:
+        if self._reports.pop(vm, None) is not None:
+            self._rotation.remove(vm)
+
+    def rotate(self, count: int) -> tuple[Report, ...]:
+        """Return the next few reports in turn."""
+        count = min(count, len(self._rotation))
+        chosen = tuple(self._reports[self._rotation[index]] for index in range(count))
+        self._rotation.rotate(-count)
+        return chosen
+
+    def reachable(self, names: frozenset[str], direct: Iterable[str]) -> frozenset[str]:
+        """Return the VMs reachable from this one.
+
+        :param direct: neighbours that this VM and its own links hold to be alive.
+        """
+        links = neighbours_of(names)
+        seen = set(direct)
+        queue = deque(seen)
+        while queue:
+            vm = queue.popleft()
+            for other in links.get(vm, ()):
+                if other not in seen and other != self._own_vm and self._is_joined(vm, other):
+                    seen.add(other)
+                    queue.append(other)
+        return frozenset(seen)
+
+    def _is_joined(self, left: str, right: str) -> bool:
+        first, second = self._reports.get(left), self._reports.get(right)
+        if first is None or second is None:
+            return False
+        return right not in first.missing and left not in second.missing
+
+
+def _order(report: Report) -> tuple[int, str]:
+    return report.seq, report.incarnation
--- /dev/null
+++ b/src/hibiscushaven/slots/borrower.py
@@ -0,0 +1,141 @@
+"""Tokens borrowed from other homes, for one service."""
+
+from dataclasses import dataclass, field
+
+from .lender import LOAN_TERM_S
+from .messages import AnswerItem, RenewalItem
+
+__all__ = ["Borrower", "Loan"]
+
+# Renewals whose responses may still count; a response that is later than this is useless.
+_SENT_KEPT = 32
+
+
+@dataclass(slots=True)
+class Loan:
+    """What one lender lends.
+
+    :ivar limit: tokens that may be in use by pool; only a newer grant raises it.
+    :ivar epoch: number of times that the loan lapsed; a token of an earlier epoch is void.
+    """
+
+    version: int = 0
+    granted: dict[str, int] = field(default_factory=dict)
+    limit: dict[str, int] = field(default_factory=dict)
+    in_use: dict[str, int] = field(default_factory=dict)
+    expires_at: float = float("-inf")
+    hold_s: float = 0.0
+    epoch: int = 0
+    answered: int = -1
+    sent: dict[int, float] = field(default_factory=dict)
+
+    def kept(self, pool: str) -> int:
+        return max(self.limit.get(pool, 0), self.in_use.get(pool, 0))
+
+    def free(self, pool: str) -> int:
+        return max(0, self.limit.get(pool, 0) - self.in_use.get(pool, 0))
+
+    def allows(self, now: float, deadline: float) -> bool:
+        """Return whether a request that ends by ``deadline`` may start now."""
+        return now < self.expires_at and deadline <= self.expires_at + self.hold_s
+
+    @property
+    def exceptions(self) -> dict[str, int]:
+        """Tokens kept, where that differs from the grant."""
+        pools = {*self.granted, *self.limit, *self.in_use}
+        return {
+            pool: self.kept(pool) for pool in pools if self.kept(pool) != self.granted.get(pool, 0)
+        }
+
+    @property
+    def is_over(self) -> bool:
+        """Whether nothing is kept and the lender knows it."""
+        return not self.granted and not self.in_use
+
+
+class Borrower:
+    """Loans by the lender's incarnation."""
+
+    def __init__(self) -> None:
+        self._loans: dict[str, Loan] = {}
+
+    @property
+    def loans(self) -> dict[str, Loan]:
+        return self._loans
+
+    @property
+    def is_idle(self) -> bool:
+        return all(loan.is_over for loan in self._loans.values())
+
+    def statement(
+        self, now: float, lender: str, seq: int, service: str, is_wanted: bool
+    ) -> RenewalItem:
+        """Return what to send to a lender; the loan term counts from now."""
+        loan = self._loans.setdefault(lender, Loan())
+        if not is_wanted:
+            loan.limit = {}
+        loan.sent[seq] = now
+        while len(loan.sent) > _SENT_KEPT:
+            del loan.sent[next(iter(loan.sent))]
+        return RenewalItem(service, loan.version, is_wanted, loan.exceptions)
+
+    def on_answer(self, lender: str, seq: int, item: AnswerItem) -> bool:
+        """Take a grant; return whether it has to be acknowledged."""
+        loan = self._loans.get(lender)
+        if loan is None or seq <= loan.answered or item.version < loan.version:
+            return False
+        sent_at = loan.sent.get(seq)
+        if sent_at is None:
+            return False
+        loan.answered = seq
+        is_changed = item.version > loan.version
+        if is_changed:
+            if item.granted is None:
+                return False
+            loan.version = item.version
+            loan.granted = dict(item.granted)
+            loan.limit = dict(item.granted)
+        if item.is_renewed:
+            if sent_at >= loan.expires_at:
+                loan.epoch += 1
+            loan.expires_at = max(loan.expires_at, sent_at + LOAN_TERM_S)
+            loan.hold_s = item.hold_ms / 1000
+        return is_changed
+
+    def give_back(self) -> None:
+        """Keep only what is in use; it is given back as it falls free."""
+        for loan in self._loans.values():
+            loan.limit = {}
+
+    def holdings(self, now: float, pool: str) -> int:
+        """Return how many borrowed tokens of a pool are free for use."""
+        return sum(loan.free(pool) for loan in self._loans.values() if now < loan.expires_at)
+
+    def in_use(self, pool: str) -> int:
+        return sum(loan.in_use.get(pool, 0) for loan in self._loans.values())
+
+    def acquire(self, now: float, pool: str, deadline: float) -> str | None:
+        """Use a token of the loan that lasts longest; return its lender."""
+        usable = [
+            (loan.expires_at, lender)
+            for lender, loan in self._loans.items()
+            if loan.free(pool) and loan.allows(now, deadline)
+        ]
+        if not usable:
+            return None
+        lender = max(usable)[1]
+        uses = self._loans[lender].in_use
+        uses[pool] = uses.get(pool, 0) + 1
+        return lender
+
+    def release(self, lender: str, pool: str) -> None:
+        uses = self._loans[lender].in_use
+        uses[pool] -= 1
+        if not uses[pool]:
+            del uses[pool]
+
+    def forget(self, now: float, kept: frozenset[str]) -> None:
+        """Drop lapsed loans of lenders that are not kept and from which nothing is in use."""
+        for lender, loan in list(self._loans.items()):
+            if lender not in kept and not loan.in_use and now >= loan.expires_at:
+                del self._loans[lender]
--- /dev/null
+++ b/src/hibiscushaven/slots/fence.py
@@ -0,0 +1,51 @@
+"""Fence of a VM's own tokens after a pause."""
+
+from .lender import LOAN_TERM_S
+
+__all__ = ["Fence"]
+
+
+class Fence:
+    """Validity of the tokens at home, as a loan to itself that each tick renews.
+
+    Explanation
+    ===========
+
+    While this VM was paused for a loan term, a successor on the same VM may have taken its
+    place in the roster. Its own tokens are then void until the table, or a peer that
+    knows this incarnation as a member, has been asked after the pause. An isolated VM that
+    was not paused is never fenced.
+    """
+
+    def __init__(self) -> None:
+        self._valid_until: float | None = None
+        self._raised_at: float | None = None
+        self._epoch = 0
+
+    @property
+    def epoch(self) -> int:
+        return self._epoch
+
+    @property
+    def is_raised(self) -> bool:
+        return self._raised_at is not None
+
+    @property
+    def valid_until(self) -> float:
+        return float("-inf") if self._valid_until is None else self._valid_until
+
+    def is_valid(self, now: float) -> bool:
+        return now < self.valid_until
+
+    def tick(self, now: float) -> None:
+        if self._valid_until is not None and now >= self._valid_until and not self.is_raised:
+            self._raised_at = now
+            self._epoch += 1
+        if not self.is_raised:
+            self._valid_until = now + LOAN_TERM_S
+
+    def confirm(self, asked_at: float) -> None:
+        """Note that this incarnation is a member, by an answer to a question asked then."""
+        if self._raised_at is not None and asked_at >= self._raised_at:
+            self._raised_at = None
+            self._valid_until = asked_at + LOAN_TERM_S
--- /dev/null
+++ b/src/hibiscushaven/slots/homes.py
@@ -0,0 +1,116 @@
+"""Shards, their groups and owners, and the home of each slot token."""
+
+import math
+from collections import Counter
+from dataclasses import dataclass
+from functools import lru_cache
+
+from hibiscushaven.membership import View
+from hibiscushaven.membership.mesh import rank
+
+from .roster import Roster, RosterMember
+
+__all__ = [
+    "GROUP_VMS",
+    "PLACE_POOL",
+    "SHARD_SERVERS",
+    "Shard",
+    "group_of",
+    "home_counts",
+    "owner_of",
+    "shard_count",
+    "token_homes",
+]
+
+GROUP_VMS = 5
+SHARD_SERVERS = 32
+
+# Pool of the tokens that stand for the place's capacity; other pools are server addresses.
+PLACE_POOL = ""
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Shard:
+    """Up to 32 backend servers of a service in the failure domain's place.
+
+    Examples
+    ========
+
+    >>> str(Shard("stock", 0))
+    'stock/0'
+
+    """
+
+    service: str
+    index: int = 0
+
+    def __str__(self) -> str:
+        return f"{self.service}/{self.index}"
+
+
+def shard_count(servers: int) -> int:
+    """Return the number of shards of a place.
+
+    Examples
+    ========
+
+    >>> shard_count(32), shard_count(33)
+    (1, 2)
+
+    """
+    return max(1, math.ceil(servers / SHARD_SERVERS))
+
+
+def group_of(roster: Roster, shard: Shard) -> tuple[RosterMember, ...]:
+    """Return the group of a shard, in the order in which its members own it.
+
+    Explanation
+    ===========
+
+    The first shard's group is also the home of all tokens of the service. Homes that
+    depended on the shard would move whenever a backend server is added.
+    """
+    group = roster.groups.get(str(shard))
+    if group is None:
+        names = rank(f"group/{shard}", roster.by_vm)[:GROUP_VMS]
+        group = roster.groups[str(shard)] = tuple(roster.by_vm[name] for name in names)
+    return group
+
+
+def owner_of(roster: Roster, shard: Shard, view: View) -> RosterMember | None:
+    """Return the first member of the group that is up and not leaving."""
+    for member in group_of(roster, shard):
+        if view.is_up(member.vm, member.incarnation):
+            return member
+    return None
+
+
+def token_homes(roster: Roster, service: str, pool: str, count: int) -> tuple[str, ...]:
+    """Return the home VM of each of the first ``count`` tokens of a pool.
+
+    Explanation
+    ===========
+
+    A token's home depends on its number but not on ``count``. VMs that have different
+    revisions of a document therefore never count the same token twice.
+
+    Examples
+    ========
+
+    >>> roster = Roster().with_joined(RosterMember("vm-1", "a", "10.0.0.1", 7000))
+    >>> token_homes(roster, "stock", "10.0.1.1:80", 2)
+    ('vm-1', 'vm-1')
+
+    """
+    group = tuple(member.vm for member in group_of(roster, Shard(service)))
+    return _homes(group, service, pool, count) if group else ()
+
+
+def home_counts(roster: Roster, service: str, pool: str, count: int) -> Counter[str]:
+    """Return how many tokens of a pool each VM is home of."""
+    return Counter(token_homes(roster, service, pool, count))
+
+
+@lru_cache(maxsize=4096)
+def _homes(group: tuple[str, ...], service: str, pool: str, count: int) -> tuple[str, ...]:
+    return tuple(rank(f"token/{service}/{pool}/{index}", group)[0] for index in range(count))
--- /dev/null
+++ b/src/hibiscushaven/slots/node.py
@@ -0,0 +1,394 @@
+"""Slot tokens of one VM, without clock, sockets or random source of its own."""
+
+import logging
+from collections.abc import Iterator, Mapping
+
+import xxhash
+
+from hibiscushaven.documents import ServiceDocument
+from hibiscushaven.ini.fields import Endpoint
+from hibiscushaven.membership import Outgoing, View
+from hibiscushaven.peers import Message, PeerIdentity
+
+from .fence import Fence
+from .homes import PLACE_POOL, Shard, group_of, home_counts, owner_of
+from .inventory import Inventory
+from .messages import (
+    AnswerItem,
+    LoanAnswer,
+    LoanRenewal,
+    RenewalItem,
+    RosterNotice,
+    SettleQuery,
+    SettleReport,
+)
+from .renewals import RenewalPlan
+from .roster import Roster, RosterError, RosterMember
+from .service import ServiceSlots, Token, pools_for
+from .settlement import settle_wait_s
+
+__all__ = ["SlotNode"]
+
+_LOG = logging.getLogger(__name__)
+
+_QUERY_S = 0.4
+_NOTICE_S = 0.4
+_QUERIES_KEPT = 64
+
+
+class SlotNode:
+    """Decides which requests this VM may start on backend servers.
+
+    Explanation
+    ===========
+
+    ``now`` is the VM's boot-time clock in seconds, which also counts suspended time.
+    """
+
+    def __init__(self, identity: PeerIdentity) -> None:
+        self._own = identity
+        self._key = (identity.vm, identity.incarnation)
+        self._roster = Roster()
+        self._adopted_at = float("-inf")
+        self._inventory = Inventory(identity.failure_domain)
+        self._services: dict[str, ServiceSlots] = {}
+        self._fence = Fence()
+        self._view = View({})
+        self._owned: frozenset[Shard] = frozenset()
+        self._is_withdrawn = False
+        self._numbers = 0
+        self._tokens: dict[int, Token] = {}
+        self._plan = RenewalPlan()
+        # A response to a former incarnation on the same address must match no request of ours.
+        self._seq = xxhash.xxh32_intdigest(identity.incarnation.encode()) // 2
+        self._asked: dict[int, float] = {}
+        self._next_query = float("-inf")
+        self._noticed: dict[Endpoint, float] = {}
+
+    @property
+    def roster(self) -> Roster:
+        return self._roster
+
+    @property
+    def is_fenced(self) -> bool:
+        """Whether the VM's own tokens are void after a pause, until a peer or the table answers."""
+        return self._fence.is_raised
+
+    @property
+    def is_drained(self) -> bool:
+        """Whether nothing is in use or lent, so that this VM can leave the roster gracefully."""
+        return all(item.is_idle and item.settlement.is_complete for item in self._services.values())
+
+    def set_documents(self, documents: Mapping[str, ServiceDocument]) -> None:
+        """Take the documents in force; fewer slots take effect as tokens fall free."""
+        self._inventory.set_documents(documents)
+        for name in self._inventory.services:
+            if name not in self._services:
+                self._services[name] = ServiceSlots(name, self._key)
+                if self._roster.version:
+                    self._services[name].settlement.adopt(self._adopted_at, self._roster)
+
+    def set_roster(self, now: float, roster: Roster, read_at: float | None = None) -> None:
+        """Take a roster; an older one is ignored.
+
+        :param read_at: when the read of the table began, ``None`` if it came from elsewhere.
+        """
+        if roster.version > self._roster.version:
+            self._roster = roster
+            self._adopted_at = now
+            for item in self._services.values():
+                item.settlement.adopt(now, roster)
+            self._refresh(now)
+        is_current = roster.version == self._roster.version and roster.has(self._key)
+        if read_at is not None and is_current:
+            self._fence.confirm(read_at)
+
+    def withdraw(self) -> None:
+        """Lend nothing more, so that this VM drains before it leaves the roster."""
+        self._is_withdrawn = True
+
+    def shard_of(self, service: str, server: str) -> Shard | None:
+        """Return the shard of a backend server of this failure domain."""
+        item = self._inventory.services.get(service)
+        return item.shards.get(server) if item is not None else None
+
+    def owner_of(self, shard: Shard, view: View) -> RosterMember | None:
+        """Return the owner of a shard as the view has it."""
+        return owner_of(self._roster, shard, view)
+
+    def owned_shards(self, view: View) -> frozenset[Shard]:
+        """Return the shards that this VM owns as the view has it."""
+        return self._shards_of(self._key, view)
+
+    def available(self, now: float, service: str, server: str) -> int:
+        """Return how many requests may start now on a backend server."""
+        pool = self._owned_pool(service, server)
+        if pool is None:
+            return 0
+        slots = self._inventory.slots(now, service)
+        item = self._services[service]
+        is_valid = self._fence.is_valid(now)
+        return min(
+            item.available(now, part, slots.get(part, 0), is_valid) for part in pools_for(pool)
+        )
+
+    def acquire(self, now: float, service: str, server: str, deadline: float) -> Token | None:
+        """Take a token for a request that ends by ``deadline``, ``None`` if there is none."""
+        longest = self._inventory.longest_s(service)
+        if deadline > now + longest or self.available(now, service, server) <= 0:
+            return None
+        pool = self._owned_pool(service, server)
+        epoch = self._fence.epoch if self._fence.is_valid(now) else None
+        sources = self._services[service].acquire(now, pools_for(pool), deadline, epoch)
+        if sources is None:
+            return None
+        self._numbers += 1
+        token = Token(self._numbers, service, server, deadline, sources)
+        self._tokens[token.number] = token
+        return token
+
+    def is_usable(self, now: float, token: Token) -> bool:
+        """Return whether a request may start now; to be asked just before it is written."""
+        if token.number not in self._tokens or now >= token.deadline:
+            return False
+        item = self._inventory.services.get(token.service)
+        if item is None or item.pool_of(token.server) != token.sources[0].pool:
+            return False
+        return now < self.loan_expiry(now, token)
+
+    def loan_expiry(self, now: float, token: Token) -> float:
+        """Return the time from which the token's request may no longer start."""
+        if token.number not in self._tokens:
+            return float("-inf")
+        item = self._services[token.service]
+        return min(item.expiries(token, self._fence.epoch, self._fence.valid_until))
+
+    def release(self, now: float, token: Token) -> None:
+        """Give a token back; to be called once its request has ended or was not started."""
+        if self._tokens.pop(token.number, None) is not None:
+            self._services[token.service].release(token.sources)
+
+    def tick(self, now: float, view: View) -> tuple[Outgoing, ...]:
+        """Return what is due; to be called about every 0.1 s."""
+        self._view = view
+        self._fence.tick(now)
+        self._owned = self.owned_shards(view)
+        self._refresh(now)
+        return tuple(self._due(now))
+
+    def on_message(
+        self, now: float, sender: PeerIdentity, message: Message
+    ) -> tuple[Outgoing, ...]:
+        """Take a message of a peer and return answers to send at once."""
+        if sender.failure_domain != self._own.failure_domain or sender.vm == self._own.vm:
+            return ()
+        return tuple(self._answers(now, sender, message))
+
+    def _answers(self, now: float, sender: PeerIdentity, message: Message) -> Iterator[Outgoing]:
+        if isinstance(message, RosterNotice):
+            self._on_notice(now, message)
+        elif isinstance(message, LoanRenewal):
+            yield from self._on_renewal(now, sender, message)
+        elif isinstance(message, LoanAnswer):
+            yield from self._on_answer(now, sender, message)
+        elif isinstance(message, SettleQuery):
+            yield self._on_query(now, sender, message)
+        elif isinstance(message, SettleReport):
+            self._on_report(now, sender, message)
+        if isinstance(message, LoanRenewal | LoanAnswer | SettleQuery | SettleReport):
+            yield from self._notice(now, sender, message.roster_version)
+
+    def _on_notice(self, now: float, notice: RosterNotice) -> None:
+        try:
+            roster = Roster.decode(notice.data, notice.version)
+        except RosterError as error:
+            _LOG.warning("roster of a peer rejected", extra={"reason": str(error)})
+            return
+        self.set_roster(now, roster)
+
+    def _on_renewal(
+        self, now: float, sender: PeerIdentity, message: LoanRenewal
+    ) -> Iterator[Outgoing]:
+        if not self._fence.is_valid(now):
+            return
+        answers = []
+        for values in message.items:
+            item = RenewalItem(*values[:4])
+            if item.service in self._services:
+                answer = self._lend(now, sender, message.seq, item)
+                if answer is not None:
+                    answers.append(answer.packed)
+        if answers:
+            answer = LoanAnswer(message.seq, self._roster.version, tuple(answers))
+            yield Outgoing(sender.endpoint, answer)
+
+    def _lend(
+        self, now: float, borrower: PeerIdentity, seq: int, item: RenewalItem
+    ) -> AnswerItem | None:
+        shards = self._shards_of((borrower.vm, borrower.incarnation), self._view)
+        inventory = self._inventory.services.get(item.service)
+        service = self._services[item.service]
+        pools: frozenset[str] = frozenset()
+        if inventory is not None and not self._is_withdrawn:
+            pools = inventory.pools_of(shards)
+
+        def quota(pool: str) -> int:
+            count = service.lender.owned.get(pool, 0) if pool in pools else 0
+            if pool != PLACE_POOL or not count:
+                return count
+            every = frozenset(inventory.shards.values())
+            return -(-count * len(shards & every) // len(every))
+
+        hold_s = self._inventory.longest_s(item.service)
+        return service.lender.renew(now, borrower.incarnation, seq, item, hold_s, quota)
+
+    def _on_answer(
+        self, now: float, sender: PeerIdentity, message: LoanAnswer
+    ) -> Iterator[Outgoing]:
+        """Take grants; acknowledge new ones at once, so that the lender knows what is kept."""
+        is_changed = False
+        for values in message.items:
+            item = AnswerItem(*values[:5])
+            service = self._services.get(item.service)
+            if service is not None:
+                borrower = service.borrower
+                is_changed |= borrower.on_answer(sender.incarnation, message.seq, item)
+        if is_changed:
+            yield from self._renew(now, sender.incarnation, sender.endpoint)
+
+    def _on_query(self, now: float, sender: PeerIdentity, query: SettleQuery) -> Outgoing:
+        reports = {
+            name: self._services[name].settlement.report(self._services[name].lender.is_within)
+            for name in query.services
+            if name in self._services and not self._inventory.has_held(name)
+        }
+        member = self._view.members.get(sender.vm)
+        is_member = (
+            self._fence.is_valid(now)
+            and self._roster.version >= query.roster_version
+            and self._roster.has((sender.vm, sender.incarnation))
+            and (member is None or member.incarnation in (None, sender.incarnation))
+        )
+        report = SettleReport(query.seq, self._roster.version, is_member, reports)
+        return Outgoing(sender.endpoint, report)
+
+    def _on_report(self, now: float, sender: PeerIdentity, report: SettleReport) -> None:
+        asked_at = self._asked.get(report.seq)
+        is_current = report.is_member and report.roster_version >= self._roster.version
+        if asked_at is not None and is_current:
+            self._fence.confirm(asked_at)
+        for name, (settled, drained) in report.settled.items():
+            if name in self._services:
+                key = (sender.vm, sender.incarnation)
+                self._services[name].settlement.on_report(key, settled, drained)
+
+    def _notice(self, now: float, peer: PeerIdentity, version: int) -> Iterator[Outgoing]:
+        """Send the roster to a peer that has an older one, at a bounded rate."""
+        last = self._noticed.get(peer.endpoint, float("-inf"))
+        if version >= self._roster.version or now - last < _NOTICE_S:
+            return
+        self._noticed[peer.endpoint] = now
+        yield Outgoing(peer.endpoint, RosterNotice(self._roster.version, self._roster.encode()))
+
+    def _refresh(self, now: float) -> None:
+        for name, item in self._services.items():
+            wait_s = settle_wait_s(self._inventory.longest_s(name))
+            item.refresh(now, wait_s, self._inventory.slots(now, name))
+            if not any(shard.service == name for shard in self._owned):
+                item.borrower.give_back()
+
+    def _shards_of(self, key: tuple[str, str], view: View) -> frozenset[Shard]:
+        if not self._roster.has(key):
+            return frozenset()
+        shards = {
+            shard for item in self._inventory.services.values() for shard in item.shards.values()
+        }
+        owners = ((shard, owner_of(self._roster, shard, view)) for shard in shards)
+        return frozenset(shard for shard, owner in owners if owner and owner.key == key)
+
+    def _owned_pool(self, service: str, server: str) -> str | None:
+        item = self._inventory.services.get(service)
+        if item is None or item.shards.get(server) not in self._owned:
+            return None
+        return item.pool_of(server)
+
+    def _due(self, now: float) -> Iterator[Outgoing]:
+        for incarnation, endpoint in self._lenders(now).items():
+            yield from self._renew(now, incarnation, endpoint, is_tick=True)
+        if now >= self._next_query:
+            self._next_query = now + _QUERY_S
+            yield from self._queries(now)
+
+    def _lenders(self, now: float) -> dict[str, Endpoint]:
+        """Return the peers that lend to this VM, or should."""
+        members = {item.incarnation: item for item in self._roster.members}
+        chosen = {}
+        for name, item in self._services.items():
+            wanted = self._wanted(name)
+            group = group_of(self._roster, Shard(name)) if wanted else ()
+            lenders = {member.incarnation for member in group}
+            heard = frozenset(
+                key for key, peer in members.items() if self._view.is_heard(peer.vm, key)
+            )
+            item.borrower.forget(now, heard)
+            lenders |= {key for key, loan in item.borrower.loans.items() if not loan.is_over}
+            for key in lenders & heard:
+                if key != self._own.incarnation:
+                    chosen[key] = members[key].endpoint
+        return chosen
+
+    def _wanted(self, service: str) -> bool:
+        return any(shard.service == service for shard in self._owned)
+
+    def _renew(
+        self, now: float, lender: str, endpoint: Endpoint, is_tick: bool = False
+    ) -> Iterator[Outgoing]:
+        """Send a renewal if it is due or if it states anything new."""
+        member = next((item for item in self._roster.members if item.incarnation == lender), None)
+        seq = self._seq + 1
+        items = []
+        is_short = False
+        for name, item in sorted(self._services.items()):
+            wanted = self._wanted(name) and member is not None
+            loan = item.borrower.loans.get(lender)
+            if not wanted and (loan is None or loan.is_over):
+                continue
+            if wanted:
+                is_short = is_short or self._is_short(now, name, member.vm, lender)
+            items.append(item.borrower.statement(now, lender, seq, name, wanted).packed)
+        if not items:
+            return
+        if is_tick and not self._plan.is_due(now, lender, tuple(items), is_short):
+            return
+        self._seq = seq
+        self._plan.note(now, lender, tuple(items))
+        yield Outgoing(endpoint, LoanRenewal(seq, self._roster.version, tuple(items)))
+
+    def _is_short(self, now: float, service: str, vm: str, lender: str) -> bool:
+        """Return whether a lender has more tokens at home than it lends so far."""
+        loan = self._services[service].borrower.loans.get(lender)
+        granted = loan.granted if loan is not None else {}
+        return any(
+            granted.get(pool, 0) < home_counts(self._roster, service, pool, count)[vm]
+            for pool, count in self._inventory.slots(now, service).items()
+        )
+
+    def _queries(self, now: float) -> Iterator[Outgoing]:
+        """Ask for reports that are waited for, and for confirmation while fenced."""
+        wanted: dict[RosterMember, set[str]] = {}
+        for name, item in self._services.items():
+            for member in item.settlement.missing:
+                wanted.setdefault(member, set()).add(name)
+        if self._fence.is_raised or not self._roster.has(self._key):
+            for member in self._roster.members:
+                if self._view.is_heard(member.vm, member.incarnation):
+                    wanted.setdefault(member, set())
+        for member, names in wanted.items():
+            if member.key == self._key:
+                continue
+            self._seq += 1
+            self._asked[self._seq] = now
+            query = SettleQuery(self._seq, self._roster.version, tuple(sorted(names)))
+            yield Outgoing(member.endpoint, query)
+        while len(self._asked) > _QUERIES_KEPT:
+            del self._asked[next(iter(self._asked))]
--- /dev/null
+++ b/src/hibiscushaven/slots/roster.py
@@ -0,0 +1,168 @@
+"""The roster of a failure domain: who may hold slot tokens, and how it came about."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field, replace
+from functools import cached_property
+
+import msgpack
+
+from hibiscushaven.ini.fields import Endpoint
+from hibiscushaven.peers import PeerIdentity
+
+__all__ = ["HISTORY", "Change", "Roster", "RosterError", "RosterMember"]
+
+# Changes kept in the row. A VM that missed more of them cannot tell who held its tokens in
+# between, and waits longer.
+HISTORY = 64
+
+
+class RosterError(ValueError):
+    """Bytes that are not a roster."""
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class RosterMember:
+    """One incarnation of a VM."""
+
+    vm: str
+    incarnation: str
+    host: str
+    peer_port: int
+
+    @property
+    def endpoint(self) -> Endpoint:
+        return Endpoint(self.host, self.peer_port)
+
+    @property
+    def key(self) -> tuple[str, str]:
+        return self.vm, self.incarnation
+
+    @classmethod
+    def of(cls, identity: PeerIdentity) -> "RosterMember":
+        return cls(identity.vm, identity.incarnation, identity.host, identity.peer_port)
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One version's difference to the version before.
+
+    :ivar is_graceful: the removed members had nothing in use or lent when they were removed.
+    """
+
+    removed: tuple[RosterMember, ...] = ()
+    joined: tuple[RosterMember, ...] = ()
+    is_graceful: bool = False
+
+
+@dataclass(frozen=True)
+class Roster:
+    """Members of a failure domain at a version of the table row.
+
+    :ivar changes: the latest changes, oldest first; the last one made this version.
+
+    Examples
+    ========
+
+    >>> one = RosterMember("vm-1", "a", "10.0.0.1", 7000)
+    >>> two = RosterMember("vm-2", "b", "10.0.0.2", 7000)
+    >>> roster = Roster().with_joined(one).with_joined(two)
+    >>> roster.version, [member.vm for member in roster.at(1).members]
+    (2, ['vm-1'])
+    >>> Roster.decode(roster.encode(), roster.version) == roster
+    True
+
+    """
+
+    version: int = 0
+    members: tuple[RosterMember, ...] = ()
+    changes: tuple[Change, ...] = field(default=(), repr=False)
+
+    @cached_property
+    def by_vm(self) -> dict[str, RosterMember]:
+        return {member.vm: member for member in self.members}
+
+    @cached_property
+    def groups(self) -> dict[str, tuple[RosterMember, ...]]:
+        """Groups already computed, by shard."""
+        return {}
+
+    @property
+    def oldest(self) -> int:
+        """The oldest version that :meth:`at` can return."""
+        return self.version - len(self.changes)
+
+    def has(self, key: tuple[str, str]) -> bool:
+        """Return whether an incarnation, given as VM and incarnation, is a member."""
+        member = self.by_vm.get(key[0])
+        return member is not None and member.incarnation == key[1]
+
+    def at(self, version: int) -> "Roster":
+        """Return the roster as it was at an earlier version, without changes before it.
+
+        :raises RosterError: when the version is too old or not yet made.
+        """
+        if not self.oldest <= version <= self.version:
+            raise RosterError(f"version {version} is not in {self.oldest}..{self.version}")
+        members = set(self.members)
+        for change in reversed(self.changes[version - self.oldest :]):
+            members -= set(change.joined)
+            members |= set(change.removed)
+        return Roster(version, tuple(sorted(members)), self.changes[: version - self.oldest])
+
+    def with_joined(self, member: RosterMember) -> "Roster":
+        """Return the next version, in which a member joined in place of its predecessors."""
+        removed = tuple(
+            other
+            for other in self.members
+            if other.vm == member.vm or other.endpoint == member.endpoint
+        )
+        return self._next(Change(removed, (member,)))
+
+    def without(self, members: tuple[RosterMember, ...], *, is_graceful: bool) -> "Roster":
+        """Return the next version, without these members."""
+        return self._next(Change(members, (), is_graceful))
+
+    def encode(self) -> bytes:
+        members = [_pack(member) for member in self.members]
+        changes = [
+            (
+                [_pack(member) for member in change.removed],
+                [_pack(member) for member in change.joined],
+                change.is_graceful,
+            )
+            for change in self.changes
+        ]
+        return msgpack.packb([self.version, members, changes])
+
+    @classmethod
+    def decode(cls, data: bytes, version: int) -> "Roster":
+        """Return the roster of a table row.
+
+        :param version: version of the row; changes of a row written otherwise are not used.
+        :raises RosterError: when the bytes are not a roster.
+        """
+        try:
+            written, members, changes = msgpack.unpackb(data, use_list=False)
+            packed = tuple(RosterMember(*values) for values in members)
+            history = tuple(
+                Change(tuple(_unpack(removed)), tuple(_unpack(joined)), is_graceful)
+                for removed, joined, is_graceful in changes
+            )
+        except (ValueError, TypeError, msgpack.UnpackException) as error:
+            raise RosterError(f"not a roster: {data[:40]!r}") from error
+        return cls(version, packed, history if written == version else ())
+
+    def _next(self, change: Change) -> "Roster":
+        members = (set(self.members) - set(change.removed)) | set(change.joined)
+        changes = (*self.changes, change)[-HISTORY:]
+        return replace(
+            self, version=self.version + 1, members=tuple(sorted(members)), changes=changes
+        )
+
+
+def _pack(member: RosterMember) -> tuple[str, str, str, int]:
+    return member.vm, member.incarnation, member.host, member.peer_port
+
+
+def _unpack(values: tuple[tuple[str, str, str, int], ...]) -> Iterator[RosterMember]:
+    return (RosterMember(*item) for item in values)
--- /dev/null
+++ b/src/hibiscushaven/slots/tests/simulation.py
@@ -0,0 +1,292 @@
+"""A failure domain on a virtual clock: full protocol logic, faulty network, pauses and crashes."""
+
+import heapq
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from functools import partial
+
+from hibiscushaven.documents import ServiceDocument, parse_document
+from hibiscushaven.membership import MembershipNode
+from hibiscushaven.peers import PeerIdentity, decode, encode
+from hibiscushaven.platform import MemoryPlatform, UnavailableError, VmEntry, VmState
+from hibiscushaven.slots import RosterKeeper, Shard, SlotNode
+
+SERVICE = "stock"
+SHARD = Shard(SERVICE)
+LONGEST_S = 1.0
+TICK_S = 0.2
+
+
+def document(slots: int = 4, capacity: int = 6, servers: int = 2, extra: str = ""):
+    """Return a document of one place and class."""
+    text = f"""
+        [service]
+        name = {SERVICE}
+        tenant = shops
+        team = a
+        [class all]
+        path = /*
+        methods = GET
+        idempotent = yes
+        size = short
+        deadline_ms = {int(LONGEST_S * 1000)}
+        [place p]
+        region = r
+        failure_domain = d
+        capacity = {capacity}
+    """
+    for number in range(servers):
+        address = f"10.9.0.{number + 1}:80"
+        text += f"\n[server s{number}]\nplace = p\naddress = {address}\nslots = {slots}\n{extra}"
+    return parse_document("\n".join(line.strip() for line in text.splitlines())).ok
+
+
+def run_now(coroutine):
+    """Run a coroutine that never waits."""
+    try:
+        coroutine.send(None)
+    except StopIteration as stop:
+        return stop.value
+    raise AssertionError("the coroutine waited")
+
+
+@dataclass
+class Network:
+    """Faults of the network, changed while the run goes on."""
+
+    loss: float = 0.0
+    duplicates: float = 0.0
+    delay_s: float = 0.0
+    is_cut: Callable[[str, str], bool] = lambda source, target: False
+
+
+@dataclass
+class Use:
+    """A request in progress on a backend server."""
+
+    server: str
+    ends_at: float
+
+
+class Vm:
+    """One incarnation of a VM."""
+
+    def __init__(self, world: "World", name: str, incarnation: str) -> None:
+        port = 7000 + int(name[2:])
+        self.identity = PeerIdentity(name, incarnation, "d", "r", "10.0.0.1", port)
+        self.offset = world.rng.uniform(-1000, 1000)
+        self.membership = MembershipNode(self.identity, rng=random.Random(world.rng.random()))
+        self.slots = SlotNode(self.identity)
+        self.slots.set_documents({SERVICE: world.document})
+        self.keeper = RosterKeeper(world.platform, self.identity)
+        self.is_alive = True
+        self.paused_until = 0.0
+        self.next_step = world.now + world.rng.uniform(0, 0.5)
+        self.deferred: list[Callable[[], None]] = []
+
+    def now(self, world: "World") -> float:
+        return world.now + self.offset
+
+
+@dataclass
+class World:
+    """The failure domain and everything around it."""
+
+    seed: int
+    size: int = 4
+    is_encoded: bool = False
+    now: float = 0.0
+    network: Network = field(default_factory=Network)
+    platform: MemoryPlatform = field(default_factory=MemoryPlatform)
+    document: ServiceDocument = field(default_factory=document)
+    load: float = 0.7
+    bytes_sent: Counter = field(default_factory=Counter)
+
+    def __post_init__(self) -> None:
+        self.rng = random.Random(self.seed)
+        self.events: list = []
+        self.numbers = 0
+        self.vms: dict[str, Vm] = {}
+        self.uses: list[Use] = []
+        self.starts = 0
+        self.limits = [(0.0, self.document)]
+        for number in range(self.size):
+            self.start_vm(f"vm{number}")
+        self.list_vms()
+
+    def at(self, time: float, action: Callable[[], None]) -> None:
+        self.numbers += 1
+        heapq.heappush(self.events, (time, self.numbers, action))
+
+    def run(self, until: float) -> None:
+        while self.events and self.events[0][0] <= until:
+            self.now, _, action = heapq.heappop(self.events)
+            action()
+        self.now = until
+
+    def start_vm(self, name: str) -> Vm:
+        vm = Vm(self, name, f"{name}-{self.rng.getrandbits(32):08x}")
+        self.vms[name] = vm
+        self.at(self.now + self.rng.uniform(0, TICK_S), lambda: self._tick(vm))
+        return vm
+
+    def crash(self, name: str) -> None:
+        self.vms[name].is_alive = False
+
+    def pause(self, name: str, seconds: float) -> None:
+        vm = self.vms[name]
+        vm.paused_until = max(vm.paused_until, self.now + seconds)
+        self.at(vm.paused_until, lambda: self._resume(vm))
+
+    def list_vms(self, without: frozenset[str] = frozenset()) -> None:
+        identities = [vm.identity for vm in self.vms.values() if vm.identity.vm not in without]
+        self.platform.set_vms(
+            tuple(
+                VmEntry(item.vm, "d", "r", item.host, item.peer_port, VmState.LIVE)
+                for item in identities
+            )
+        )
+
+    def set_document(self, item: ServiceDocument, delay_s: float = 1.0) -> None:
+        """Put a document in force, on each VM at another time."""
+        self.limits.append((self.now, self.document))
+        self.document = item
+        for vm in self.vms.values():
+            self.defer(vm, self.rng.uniform(0, delay_s), self._applier(vm, item))
+
+    def defer(self, vm: Vm, seconds: float, action: Callable[[], None]) -> None:
+        """Run an action of a VM later, or once it is resumed; never if it has crashed."""
+
+        def attempt() -> None:
+            if vm.is_alive and self.now < vm.paused_until:
+                vm.deferred.append(action)
+            elif vm.is_alive:
+                action()
+
+        self.at(self.now + seconds, attempt)
+
+    def live(self) -> list[Vm]:
+        return [vm for vm in self.vms.values() if vm.is_alive]
+
+    def owners(self) -> list[Vm]:
+        return [vm for vm in self.live() if vm.slots.owned_shards(vm.membership.view)]
+
+    def free_tokens(self) -> tuple[int, int]:
+        """Return the tokens free at the owner, over the servers and in the place."""
+        (owner,) = self.owners()
+        servers = [server.name for server in self.document.servers]
+        now = owner.now(self)
+        counts = [owner.slots.available(now, SERVICE, server) for server in servers]
+        taken = 0
+        while any(owner.slots.acquire(now, SERVICE, server, now + 0.1) for server in servers):
+            taken += 1
+        return min(counts), taken
+
+    def _applier(self, vm: Vm, item: ServiceDocument) -> Callable[[], None]:
+        return lambda: vm.slots.set_documents({SERVICE: item})
+
+    def _resume(self, vm: Vm) -> None:
+        if self.now >= vm.paused_until and vm.is_alive:
+            waiting, vm.deferred = vm.deferred, []
+            for action in waiting:
+                action()
+
+    def _tick(self, vm: Vm) -> None:
+        if not vm.is_alive:
+            return
+        self.at(self.now + TICK_S, lambda: self._tick(vm))
+        if self.now < vm.paused_until:
+            return
+        now = vm.now(self)
+        if self.now >= vm.next_step:
+            vm.next_step = self.now + 1.0
+            self._step_platform(vm, now)
+        self._send(vm, vm.membership.tick(now))
+        self._send(vm, vm.slots.tick(now, vm.membership.view))
+        for server in self.document.servers:
+            while self.rng.random() < self.load and self._request(vm, server.name):
+                pass
+
+    def _step_platform(self, vm: Vm, now: float) -> None:
+        try:
+            vm.membership.on_list(now, run_now(self.platform.list_vms()))
+        except UnavailableError:
+            vm.membership.on_list_failed(now)
+        heard = frozenset(
+            key.identity.incarnation
+            for other in self.live()
+            for key in other.membership.view.members.values()
+            if key.identity and other.membership.view.is_heard(key.vm, key.identity.incarnation)
+        )
+        roster = run_now(vm.keeper.step(now, vm.membership.view, heard))
+        vm.slots.set_roster(now, roster, vm.keeper.read_at)
+
+    def _send(self, vm: Vm, outgoing) -> None:
+        source = vm.identity
+        for item in outgoing:
+            message = item.message
+            if self.is_encoded:
+                data = encode(message)
+                self.bytes_sent[source.vm, message.kind] += len(data) + 4
+                message = decode(data)
+            copies = 1 + (self.rng.random() < self.network.duplicates)
+            for _ in range(copies):
+                if self.rng.random() >= self.network.loss:
+                    delay = 0.002 + self.rng.random() * self.network.delay_s
+                    self.at(self.now + delay, self._delivery(source, item.endpoint, message))
+
+    def _delivery(self, source: PeerIdentity, endpoint, message) -> Callable[[], None]:
+        def deliver() -> None:
+            for vm in self.live():
+                is_there = vm.identity.endpoint == endpoint
+                if is_there and not self.network.is_cut(source.vm, vm.identity.vm):
+                    self.defer(vm, 0.0, partial(self._receive, vm, source, message))
+
+        return deliver
+
+    def _receive(self, vm: Vm, source: PeerIdentity, message) -> None:
+        now = vm.now(self)
+        self._send(vm, vm.membership.on_message(now, source, message))
+        self._send(vm, vm.slots.on_message(now, source, message))
+
+    def _request(self, vm: Vm, server: str) -> bool:
+        now = vm.now(self)
+        seconds = self.rng.uniform(0.05, LONGEST_S)
+        token = vm.slots.acquire(now, SERVICE, server, now + seconds)
+        if token is None:
+            return False
+        connecting = self.rng.choice((0.0, 0.0, 0.1, 0.3))
+        self.defer(vm, connecting, partial(self._start, vm, token))
+        return True
+
+    def _start(self, vm: Vm, token) -> None:
+        now = vm.now(self)
+        if not vm.slots.is_usable(now, token):
+            vm.slots.release(now, token)
+            return
+        left = token.deadline - now
+        seconds = left if self.rng.random() < 0.5 else self.rng.uniform(0, left)
+        self.uses = [use for use in self.uses if use.ends_at > self.now]
+        self.uses.append(Use(token.server, self.now + seconds))
+        self.starts += 1
+        self.check()
+        self.defer(vm, seconds, lambda: vm.slots.release(vm.now(self), token))
+
+    def check(self) -> None:
+        """Assert that no server and no place has more in progress than it may."""
+        recent = [self.document]
+        recent += [item for ended, item in self.limits if self.now - ended < 2 + LONGEST_S]
+        counts = Counter(use.server for use in self.uses)
+        for name, count in counts.items():
+            slots = max(s.slots for item in recent for s in item.servers if s.name == name)
+            assert count <= slots, f"seed {self.seed} at {self.now:.2f}: {name} has {count}"
+        capacity = max(item.places[0].capacity for item in recent)
+        total = sum(counts.values())
+        assert total <= capacity, f"seed {self.seed} at {self.now:.2f}: the place has {total}"
+
+
+def with_state(item: ServiceDocument, state) -> ServiceDocument:
+    """Return a document with all backend servers in a state."""
+    return replace(item, servers=tuple(replace(server, state=state) for server in item.servers))
