Add at-most-once claims of non-idempotent requests

Cause: a resend of an order or registration at another VM must not run again, also when the table loses answers, is down, or serves stale reads. Ruled out: reading the row before each claim (one more round trip for every request), takeover of held rows by age (a paused holder would still send), and retrying conflicting rows together with new ones (a stream of resends would keep every transaction from committing). Change: claims and endings share paced transactions, one outstanding per VM; each write expects a version, so a lost answer is settled by reading and the write can be repeated; an attempt that ends unsettled is reported as not run, never sends, and its row is released once the table allows it. A virtual event loop and a table with seeded faults serve the tests.

--- /dev/null
+++ b/src/hibiscushaven/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the parts on a virtual clock."""
--- /dev/null
+++ b/src/hibiscushaven/claims/tests/test_keeper.py
@@ -0,0 +1,184 @@
+"""Claims on one or two VMs, with single faults of the table."""
+
+import asyncio
+from collections.abc import Coroutine
+
+import pytest
+
+from hibiscushaven.bench.virtual import run_virtual
+from hibiscushaven.claims import (
+    MAX_ANSWER_BYTES,
+    RETENTION_S,
+    Answer,
+    ClaimKeeper,
+    ClaimLateError,
+    ClaimReleasedError,
+    ClaimRequest,
+    ClaimRow,
+    ClaimSentError,
+    DeadlineError,
+    InProgressError,
+    Outcome,
+    Pace,
+    Replay,
+    RowState,
+    TableUnavailableError,
+    WrongBodyError,
+)
+from hibiscushaven.platform import MemoryPlatform
+
+
+def keeper_on(platform: MemoryPlatform, incarnation: str = "a") -> ClaimKeeper:
+    loop = asyncio.get_running_loop()
+    return ClaimKeeper(
+        platform, incarnation, loop.time, Pace(loop.time, asyncio.sleep), lambda: 1000.0
+    )
+
+
+def request(key: str = "1", body: str = "body", caller: str = "shop-a") -> ClaimRequest:
+    return ClaimRequest("pedidos", "retalho-sul", caller, key, body)
+
+
+def scenario(work) -> Coroutine:
+    """Run a test on virtual time with a platform and two keepers."""
+
+    def test() -> None:
+        async def run() -> None:
+            platform = MemoryPlatform()
+            await work(platform, keeper_on(platform, "a"), keeper_on(platform, "b"))
+
+        run_virtual(run())
+
+    test.__name__, test.__doc__ = work.__name__, work.__doc__
+    return test
+
+
+@scenario
+async def test_resends_get_the_first_answer(platform, one, two) -> None:
+    """Guards against a resend at another VM that runs the request again."""
+    claim = (await one.claim(request(), 9)).ok
+    assert isinstance((await two.claim(request(), 9)).error, InProgressError)
+    claim.mark_sent()
+    await one.complete(claim, Outcome.RUN, Answer(201, (("A", "b"),), b"done"))
+    await one.drain()
+    replay = Replay(Outcome.RUN, 201, Answer(201, (("A", "b"),), b"done"))
+    assert (await two.claim(request(), 9)).ok == replay
+    assert isinstance((await two.claim(request(body="other"), 9)).error, WrongBodyError)
+    assert not isinstance((await two.claim(request(caller="shop-b"), 9)).ok, Replay)
+
+
+@scenario
+async def test_large_answers_are_kept_as_status_only(platform, one, two) -> None:
+    """Guards against rows that outgrow the table, and against rows that never expire."""
+    for size, is_kept in ((MAX_ANSWER_BYTES, True), (MAX_ANSWER_BYTES + 1, False)):
+        claim = (await one.claim(request(str(size)), 9)).ok
+        claim.mark_sent()
+        await one.complete(claim, Outcome.RUN, Answer(200, (), b"x" * size))
+        await one.drain()
+        replay = (await two.claim(request(str(size)), 9)).ok
+        assert (replay.status, replay.answer is not None) == (200, is_kept)
+        row = ClaimRow.decode((await platform.read(request(str(size)).row_key)).value)
+        assert row.expires_at == 1000 + RETENTION_S
+
+
+@scenario
+async def test_one_conflict_fails_no_other_claim(platform, one, two) -> None:
+    """Guards against a resend that fails every claim it shares a transaction with."""
+    await two.claim(request("held"), 9)
+    before = one.counts.transactions
+    keys = ("held", *map(str, range(20)))
+    results = await asyncio.gather(*(one.claim(request(key), 9) for key in keys))
+    assert [result.is_ok() for result in results] == [False] + [True] * 20
+    assert one.counts.transactions - before == 2
+    assert one.counts.reads == 1
+
+
+@scenario
+async def test_one_key_claimed_twice_at_one_vm(platform, one, two) -> None:
+    """Guards against two writes of one row in a transaction, which would grant both."""
+    results = await asyncio.gather(*(one.claim(request(), 9) for _ in range(5)))
+    assert sum(result.is_ok() for result in results) == 1
+
+
+@scenario
+async def test_outage_refuses_at_once(platform, one, two) -> None:
+    """Guards against requests that wait for the table, and releases lost in its outage."""
+    claim = (await one.claim(request(), 9)).ok
+    platform.faults.is_down = True
+    start = asyncio.get_running_loop().time()
+    refused = (await one.claim(request("2"), start + 9)).error
+    assert isinstance(refused, TableUnavailableError)
+    assert refused.outcome is Outcome.NOT_RUN
+    assert asyncio.get_running_loop().time() - start < 0.01
+    assert not await one.release(claim)
+    platform.faults.is_down = False
+    await one.drain()
+    assert (await two.claim(request(), 99)).is_ok()
+
+
+@scenario
+async def test_lost_answer_is_settled_by_reading(platform, one, two) -> None:
+    """Guards against a claim that is lost, or reported as not run, with its row held."""
+    platform.faults.lost_answers = 1
+    platform.faults.stale_reads = 1
+    claim = (await one.claim(request(), 9)).ok
+    assert isinstance((await two.claim(request(), 9)).error, InProgressError)
+    claim.mark_sent()
+
+
+@scenario
+async def test_unsettled_claim_is_released_after_the_outage(platform, one, two) -> None:
+    """Guards against a row that stays held by an attempt that was reported as not run."""
+    loop = asyncio.get_running_loop()
+    for key, deadline_s, expected in (("a", 1, DeadlineError), ("b", 9, TableUnavailableError)):
+        platform.faults.lost_answers = 1
+        start = loop.time()
+        claiming = asyncio.ensure_future(one.claim(request(key), start + deadline_s))
+        while platform.faults.lost_answers:
+            await asyncio.sleep(0)
+        platform.faults.is_down = True
+        assert isinstance((await claiming).error, expected)
+        assert loop.time() - start < 3
+        cell = platform._cells[request(key).row_key]
+        assert ClaimRow.decode(cell.current.value).state is RowState.HELD
+        await asyncio.sleep(60)
+        platform.faults.is_down = False
+        await one.drain()
+        assert (await two.claim(request(key), loop.time() + 9)).is_ok()
+
+
+@scenario
+async def test_sending_and_release_exclude_each_other(platform, one, two) -> None:
+    """Guards against a holder that sends after it gave the claim up, or late, or twice."""
+    sent = (await one.claim(request("sent"), 9)).ok
+    sent.mark_sent()
+    with pytest.raises(ClaimSentError):
+        sent.mark_sent()
+    with pytest.raises(ClaimSentError):
+        await one.release(sent)
+    released = (await one.claim(request("released"), 9)).ok
+    assert await one.release(released)
+    with pytest.raises(ClaimReleasedError):
+        released.mark_sent()
+    paused = (await one.claim(request("paused"), 9)).ok
+    await asyncio.sleep(9)
+    with pytest.raises(ClaimLateError):
+        paused.mark_sent()
+
+
+@scenario
+async def test_held_claim_outlives_time(platform, one, two) -> None:
+    """Guards against takeover of a claim because its holder is silent."""
+    (await one.claim(request(), 9)).ok.mark_sent()
+    await asyncio.sleep(6 * 24 * 3600)
+    now = asyncio.get_running_loop().time()
+    assert isinstance((await two.claim(request(), now + 9)).error, InProgressError)
+
+
+@scenario
+async def test_deadline_within_the_expected_wait_is_refused(platform, one, two) -> None:
+    """Guards against claims that occupy a transaction without a chance."""
+    one.set_live_vms(2700)
+    await one.claim(request("1"), 99)
+    assert isinstance((await one.claim(request("2"), 5)).error, DeadlineError)
+    assert asyncio.get_running_loop().time() == 0
--- /dev/null
+++ b/src/hibiscushaven/claims/tests/test_schedules.py
@@ -0,0 +1,195 @@
+"""Seeded schedules of claimants on several VMs, with faults of the table and of VMs."""
+
+import asyncio
+import random
+from collections import Counter
+from functools import cache
+from itertools import pairwise
+
+import pytest
+
+from hibiscushaven.bench.faulty import FaultRates, FaultyTable
+from hibiscushaven.bench.virtual import run_virtual
+from hibiscushaven.claims import (
+    Answer,
+    Claim,
+    ClaimKeeper,
+    ClaimLateError,
+    ClaimReleasedError,
+    ClaimRequest,
+    ClaimRow,
+    Outcome,
+    Pace,
+    Replay,
+    WrongBodyError,
+)
+from hibiscushaven.platform import MemoryPlatform
+
+SEEDS = 240
+BODIES = ("body", "other")
+ERRORS = ("WrongBodyError", "InProgressError", "TableUnavailableError", "DeadlineError")
+VMS = 3
+BAD = FaultRates(lost=0.15, vanished=0.08, late=0.08, refused=0.05, stale=0.2)
+
+
+class World:
+    """VMs that claim the same few keys, and what was sent."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.platform = MemoryPlatform()
+        self.loop = asyncio.get_running_loop()
+        self.starts = 0
+        self.tables = [FaultyTable(self.platform, self.rng, BAD) for _ in range(VMS)]
+        self.keepers = [self.start(vm) for vm in range(VMS)]
+        self.runs: Counter[str] = Counter()
+        self.answers: dict[str, bytes] = {}
+        self.kinds: list[str] = []
+        self.wrong_bodies: list[ClaimRequest] = []
+        self.replays: list[tuple[str, Replay]] = []
+
+    def start(self, vm: int) -> ClaimKeeper:
+        self.starts += 1
+        pace = Pace(self.loop.time, asyncio.sleep)
+        pace.set_live_vms(VMS)
+        table = self.tables[vm]
+        return ClaimKeeper(table, f"vm{vm}-{self.starts}", self.loop.time, pace, self.loop.time)
+
+    async def crash(self, vm: int) -> None:
+        old = self.keepers[vm]
+        self.keepers[vm] = self.start(vm)
+        await old.close()
+
+    async def attempt(self, key: str, body: str) -> None:
+        await asyncio.sleep(self.rng.uniform(0, 6))
+        vm = self.rng.randrange(VMS)
+        keeper = self.keepers[vm]
+        deadline = self.loop.time() + self.rng.choice((0.05, 0.3, 1.0, 4.0))
+        request = ClaimRequest("orders", "tenant", "caller", key, body)
+        calling = asyncio.ensure_future(keeper.claim(request, deadline))
+        if self.rng.random() < 0.1:
+            self.loop.call_later(self.rng.uniform(0, 0.1), calling.cancel)
+        done, _ = await asyncio.wait({calling}, timeout=10)
+        assert done, "a claim was not answered by its deadline"
+        if calling.cancelled():
+            return
+        result = calling.result()
+        if result.is_error():
+            self.kinds.append(type(result.error).__name__)
+            assert self.loop.time() <= deadline + 0.001
+            if isinstance(result.error, WrongBodyError):
+                self.wrong_bodies.append(request)
+        elif isinstance(result.ok, Replay):
+            self.kinds.append("replayed")
+            self.replays.append((key, result.ok))
+        else:
+            self.kinds.append("granted")
+            await self.use(keeper, vm, result.ok, key)
+
+    async def use(self, keeper: ClaimKeeper, vm: int, claim: Claim, key: str) -> None:
+        if self.rng.random() < 0.2:
+            await asyncio.sleep(self.rng.uniform(0, 5))
+        if self.rng.random() < 0.3:
+            releasing = asyncio.ensure_future(keeper.release(claim))
+            await asyncio.sleep(self.rng.choice((0, 0.05)))
+            with pytest.raises(ClaimReleasedError):
+                claim.mark_sent()
+            await releasing
+            return
+        try:
+            claim.mark_sent()
+        except ClaimLateError:
+            await keeper.release(claim)
+            return
+        if self.rng.random() < 0.15:
+            claim.mark_refused()
+            await keeper.release(claim)
+            return
+        self.runs[key] += 1
+        self.answers[key] = f"{key} by {claim.holder}".encode()
+        await asyncio.sleep(self.rng.uniform(0, 0.5))
+        if self.rng.random() < 0.15:
+            await self.crash(vm)
+            return
+        await keeper.complete(claim, Outcome.RUN, Answer(200, (), self.answers[key]))
+
+    async def outages(self) -> None:
+        for _ in range(2):
+            await asyncio.sleep(self.rng.uniform(0, 3))
+            self.platform.faults.is_down = True
+            await asyncio.sleep(self.rng.uniform(0, 2))
+            self.platform.faults.is_down = False
+
+
+async def run_schedule(seed: int) -> World:
+    world = World(seed)
+    keys = [f"key-{number}" for number in range(4)]
+    attempts = [
+        world.attempt(world.rng.choice(keys), world.rng.choices(BODIES, (7, 1))[0])
+        for _ in range(16)
+    ]
+    await asyncio.gather(world.outages(), *attempts)
+    for table in world.tables:
+        table.rates = FaultRates()
+    for keeper in world.keepers:
+        async with asyncio.timeout(60):
+            await keeper.drain()
+    await asyncio.sleep(BAD.late_s)
+    for request in world.wrong_bodies:
+        row = await world.platform.read(request.row_key)
+        assert ClaimRow.decode(row.value).fingerprint != request.fingerprint
+    return world
+
+
+async def find_blocked(world: World) -> list[str]:
+    """Return the keys that were not run and that no resend can claim."""
+    blocked = []
+    for key in (f"key-{number}" for number in range(4)):
+        requests = [ClaimRequest("orders", "tenant", "caller", key, body) for body in BODIES]
+        results = [await world.keepers[0].claim(item, world.loop.time() + 5) for item in requests]
+        if not world.runs[key] and not any(result.is_ok() for result in results):
+            blocked.append(key)
+    return blocked
+
+
+@cache
+def outcome_of(seed: int) -> tuple[World, list[str]]:
+    async def run() -> tuple[World, list[str]]:
+        world = await run_schedule(seed)
+        return world, await find_blocked(world)
+
+    return run_virtual(run())
+
+
+@pytest.mark.parametrize("seed", range(SEEDS))
+def test_no_schedule_sends_a_key_twice(seed: int) -> None:
+    """Guards against duplicates and against answers that are not the run's own."""
+    world, _ = outcome_of(seed)
+    assert all(count == 1 for count in world.runs.values())
+    assert all(replay.answer.body == world.answers[key] for key, replay in world.replays)
+
+
+@pytest.mark.parametrize("seed", range(SEEDS))
+def test_keys_that_were_not_run_become_free(seed: int) -> None:
+    """Guards against rows left held by attempts that were reported as not run."""
+    world, blocked = outcome_of(seed)
+    assert not blocked or world.starts > VMS
+
+
+def test_schedules_reach_every_result() -> None:
+    """Guards against schedules that exercise too little to prove anything."""
+    worlds = [outcome_of(seed)[0] for seed in range(SEEDS)]
+    kinds = Counter(kind for world in worlds for kind in world.kinds)
+    assert min(kinds[kind] for kind in ("granted", "replayed", *ERRORS)) >= 20
+    assert sum(world.starts > VMS for world in worlds) >= 20
+
+
+def test_one_transaction_is_outstanding_per_vm() -> None:
+    """Guards against a VM that exceeds its share of the table's transactions."""
+    for world, _ in map(outcome_of, range(SEEDS)):
+        if world.starts > VMS:
+            continue
+        for table in world.tables:
+            gaps = [after - before for before, after in pairwise(table.starts)]
+            assert table.most_outstanding <= 1
+            assert min(gaps, default=1) >= VMS / 300
