Add the backend client and a backend stand-in

Cause: attempts need a client that never repeats a request by itself and that says where an attempt stopped, and tests need a backend server that fails like real ones do. Ruled out: a trace hook for the guard, because aiohttp's hooks run before the connection is acquired or after the head was queued; the request class is extended instead, and asks the guard where the first byte is written. Ruled out: the connector's own limit, because reused and new connections use two connectors; a gate limits both.

--- /dev/null
+++ b/src/hibiscushaven/delivery/client.py
@@ -0,0 +1,297 @@
+"""HTTP attempts on backend servers."""
+
+import asyncio
+import logging
+import re
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+from typing import Any
+from urllib.parse import quote
+
+import aiohttp
+from yarl import URL
+
+from hibiscushaven.ini.fields import Endpoint
+
+from .attempts import AttemptHead, AttemptRequest
+from .headers import end_to_end, find_header
+from .outcome import AttemptError, Outcome, Stop
+from .pools import GuardRefusedError, Pool, Transmission
+
+__all__ = ["BackendClient", "ClientTimeouts"]
+
+_LOG = logging.getLogger(__name__)
+_TARGET = re.compile(r"/[!-\"$-~\x80-\uffff]*")
+_BODILESS_STATUSES = frozenset({204, 304})
+_MAX_CONTROL_BYTES = 16 * 1024
+_DEFAULT_CONNECTIONS = 64
+# Set by the client itself; a caller's value would contradict it.
+_OWN_REQUEST_HEADERS = frozenset(
+    {"content-length", "expect", "attempt-id", "request-deadline-ms", "start-by"}
+)
+
+
+@dataclass(frozen=True, slots=True)
+class ClientTimeouts:
+    """Times in seconds.
+
+    :ivar connect: time to open a connection.
+    :ivar progress: time without a byte after which a connection counts as silent.
+    :ivar control: time of a call of a ``/-/`` endpoint.
+    """
+
+    connect: float = 1.0
+    progress: float = 2.0
+    control: float = 1.0
+
+
+class BackendClient:
+    """Sends attempts to backend servers, each on connections of its own tenant and server.
+
+    Explanation
+    ===========
+
+    The client never repeats a request: redirects are passed on, cookies are not kept, bodies
+    are passed on as they are encoded, and a request on a reused connection that was closed
+    fails. Whether it is sent again is the dispatcher's decision.
+
+    See Also
+    ========
+
+    hibiscushaven.delivery.bodies.resumed : complete bodies over several attempts
+
+    :param connection_limit: most connections to a server, from the document; a changed value
+        is used from the next request on.
+    """
+
+    def __init__(
+        self,
+        connection_limit: Callable[[Endpoint], int] = lambda server: _DEFAULT_CONNECTIONS,
+        timeouts: ClientTimeouts | None = None,
+    ) -> None:
+        self._connection_limit = connection_limit
+        self._timeouts = timeouts or ClientTimeouts()
+        self._pools: dict[tuple[str, Endpoint], Pool] = {}
+        self._retirements: set[asyncio.Task[None]] = set()
+
+    async def close(self) -> None:
+        for pool in self._pools.values():
+            await pool.close()
+        self._pools.clear()
+        await asyncio.gather(*self._retirements, return_exceptions=True)
+
+    async def attempt(self, request: AttemptRequest) -> AttemptHead:
+        """Send a request and return the head of its response.
+
+        :raises AttemptError: when there is no response that belongs to the attempt.
+        """
+        if not _TARGET.fullmatch(request.target):
+            raise AttemptError(Stop.INVALID, f"target {request.target!r}")
+        transmission = Transmission(request.guard)
+        pool = self._pool(request.tenant, request.server)
+        session = await _enter(pool, request)
+        response = await self._send(pool, session, request, transmission)
+        head = AttemptHead(
+            response,
+            end_to_end(tuple(response.headers.items())),
+            request,
+            self._timeouts.progress,
+            partial(self._end, pool, request),
+        )
+        try:
+            _check_head(head, request)
+        except AttemptError as error:
+            await head.close(error.stop)
+            raise
+        return head
+
+    async def cancel(self, server: Endpoint, attempt_id: str, tenant: str = "") -> bool:
+        """Ask a backend server to stop an attempt; return whether it confirmed."""
+        path = "/-/attempts/" + quote(attempt_id, safe="")
+        answer = await self.call_control(server, "DELETE", path, tenant)
+        return answer is not None and answer[0] < 300
+
+    async def call_control(
+        self, server: Endpoint, method: str, path: str, tenant: str = ""
+    ) -> tuple[int, bytes] | None:
+        """Call a ``/-/`` endpoint; return status and body, or ``None`` without a response."""
+        pool = self._pool(tenant, server)
+        transmission = Transmission(lambda: True)
+        try:
+            async with asyncio.timeout(self._timeouts.control):
+                return await _exchange_control(pool, server, method, path, transmission)
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            if transmission.is_sent and isinstance(error, TimeoutError):
+                self.empty_pool(server)
+            _LOG.debug("no answer", extra={"server": str(server), "why": repr(error)})
+            return None
+
+    def empty_pool(self, server: Endpoint) -> None:
+        """Let no later request use a connection to the server that is open now.
+
+        Requests in progress keep their connections until they end.
+        """
+        for key in [key for key in self._pools if key[1] == server]:
+            self._retire(key)
+
+    def idle_connections(self, server: Endpoint) -> int:
+        """Return the number of idle connections that a request could reuse."""
+        return sum(pool.idle for (_, at), pool in self._pools.items() if at == server)
+
+    def _pool(self, tenant: str, server: Endpoint) -> Pool:
+        key = (tenant, server)
+        limit = self._connection_limit(server)
+        pool = self._pools.get(key)
+        if pool is not None and pool.limit != limit:
+            self._retire(key)
+            pool = None
+        if pool is None:
+            pool = self._pools[key] = Pool(limit)
+        return pool
+
+    def _retire(self, key: tuple[str, Endpoint]) -> None:
+        pool = self._pools.pop(key)
+        pool.drop_idle()
+        task = asyncio.create_task(pool.retire())
+        self._retirements.add(task)
+        task.add_done_callback(self._retirements.discard)
+
+    async def _end(self, pool: Pool, request: AttemptRequest, stop: Stop | None) -> None:
+        """Give back the connection of a response that ended."""
+        # A complete response was given back to the pool before its id was looked at, so that
+        # after a wrong id the pool is emptied to close its connection.
+        if stop in (Stop.SILENT, Stop.WRONG_ATTEMPT_ID):
+            self.empty_pool(request.server)
+        await pool.leave()
+
+    async def _send(
+        self,
+        pool: Pool,
+        session: aiohttp.ClientSession,
+        request: AttemptRequest,
+        transmission: Transmission,
+    ) -> aiohttp.ClientResponse:
+        try:
+            async with asyncio.timeout_at(request.deadline):
+                return await _open(session, request, transmission, self._timeouts)
+        except BaseException as error:
+            stop = _stop_of(error, transmission)
+            is_suspect = stop is Stop.DEADLINE and transmission.is_reused
+            if stop is Stop.SILENT or is_suspect:
+                self.empty_pool(request.server)
+            await pool.leave()
+            if stop is None:
+                raise
+            raise AttemptError(stop, f"{request.server}: {error!r}") from error
+
+
+async def _enter(pool: Pool, request: AttemptRequest) -> aiohttp.ClientSession:
+    try:
+        async with asyncio.timeout_at(request.deadline):
+            return await pool.enter(request.use_new_connection)
+    except TimeoutError:
+        detail = f"{pool.limit} connections to {request.server} in use"
+        raise AttemptError(Stop.NO_FREE_CONNECTION, detail) from None
+
+
+async def _open(
+    session: aiohttp.ClientSession,
+    request: AttemptRequest,
+    transmission: Transmission,
+    timeouts: ClientTimeouts,
+) -> aiohttp.ClientResponse:
+    head_timeout_s = request.head_timeout_s or timeouts.progress
+    timeout = aiohttp.ClientTimeout(
+        total=None, sock_connect=timeouts.connect, sock_read=head_timeout_s
+    )
+    response = await session.request(
+        request.method,
+        URL(f"http://{request.server}{request.target}", encoded=True),
+        headers=_request_headers(request),
+        data=request.body or None,
+        allow_redirects=False,
+        timeout=timeout,
+        trace_request_ctx=transmission,
+        middlewares=(partial(_attach, transmission),),
+    )
+    if response.connection is not None:
+        # Reading the body has a timeout of its own, which leaves out a slow caller's time.
+        response.connection.protocol.read_timeout = None
+        response.connection.protocol.start_timeout()
+    return response
+
+
+async def _attach(transmission: Transmission, request: Any, handler: Any) -> Any:
+    """Hand the transmission to the request object that aiohttp made."""
+    request.transmission = transmission
+    return await handler(request)
+
+
+def _request_headers(request: AttemptRequest) -> list[tuple[str, str]]:
+    headers = [
+        item for item in end_to_end(request.headers) if item[0].lower() not in _OWN_REQUEST_HEADERS
+    ]
+    now = asyncio.get_running_loop().time()
+    left_ms = max(0, int((request.deadline - now) * 1000))
+    headers.append(("Attempt-Id", request.attempt_id))
+    headers.append(("Request-Deadline-Ms", str(left_ms)))
+    if request.start_by_unix_ms is not None:
+        headers.append(("Start-By", str(request.start_by_unix_ms)))
+    return headers
+
+
+def _check_head(head: AttemptHead, request: AttemptRequest) -> None:
+    """Refuse responses that belong to another attempt, that refuse, or that have no end."""
+    answered = find_header(head.headers, "Attempt-Id")
+    if answered != request.attempt_id:
+        detail = f"{request.server} answered {answered!r} to {request.attempt_id!r}"
+        raise AttemptError(Stop.WRONG_ATTEMPT_ID, detail)
+    outcome = find_header(head.headers, "Request-Outcome")
+    if head.status == 503 and outcome == Outcome.NOT_RUN:
+        raise AttemptError(Stop.REFUSED, f"{request.server} did not run it", _retry_after_s(head))
+    is_bodiless = request.method == "HEAD" or head.status in _BODILESS_STATUSES
+    if not (is_bodiless or head.is_delimited):
+        # Its end is the end of the connection, which also follows a crash.
+        raise AttemptError(Stop.MALFORMED, f"{request.server} sent a body without a length")
+
+
+def _retry_after_s(head: AttemptHead) -> float | None:
+    value = find_header(head.headers, "Retry-After")
+    return float(value) if value is not None and value.isdecimal() else None
+
+
+def _stop_of(error: BaseException, transmission: Transmission) -> Stop | None:
+    """Return where an attempt stopped, or ``None`` for an error that is not its own."""
+    if transmission.is_refused or isinstance(error, GuardRefusedError):
+        return Stop.GUARD_REFUSED
+    if isinstance(error, aiohttp.ClientError | OSError) and not transmission.is_sent:
+        is_deadline = type(error) is TimeoutError
+        return Stop.DEADLINE_BEFORE_SENDING if is_deadline else Stop.NOT_CONNECTED
+    match error:
+        case aiohttp.SocketTimeoutError():
+            return Stop.SILENT
+        case TimeoutError():
+            return Stop.DEADLINE
+        case aiohttp.ClientResponseError():
+            return Stop.MALFORMED
+        case aiohttp.ClientError() | OSError():
+            return Stop.CONNECTION_LOST
+    return None
+
+
+async def _exchange_control(
+    pool: Pool, server: Endpoint, method: str, path: str, transmission: Transmission
+) -> tuple[int, bytes]:
+    session = await pool.enter(use_new_connection=False)
+    try:
+        async with session.request(
+            method,
+            URL(f"http://{server}{path}", encoded=True),
+            allow_redirects=False,
+            trace_request_ctx=transmission,
+            middlewares=(partial(_attach, transmission),),
+        ) as response:
+            return response.status, await response.content.read(_MAX_CONTROL_BYTES)
+    finally:
+        await pool.leave()
--- /dev/null
+++ b/src/hibiscushaven/standins/content.py
@@ -0,0 +1,61 @@
+"""Bodies of the backend stand-in: their bytes depend on the position, so that a test sees gaps."""
+
+import hashlib
+import re
+from dataclasses import dataclass
+
+__all__ = ["ByteRange", "content", "etag", "parse_range"]
+
+_BLOCK = bytes(index * 31 % 251 for index in range(251 * 256))
+_RANGE = re.compile(r"bytes=(\d+)-(\d*)")
+
+
+@dataclass(frozen=True, slots=True)
+class ByteRange:
+    """Positions of a body from ``start`` up to but not including ``end``."""
+
+    start: int
+    end: int
+
+
+def content(start: int, end: int) -> bytes:
+    """Return the bytes of a body from ``start`` up to but not including ``end``.
+
+    Examples
+    ========
+
+    >>> content(0, 100)[40:60] == content(40, 60)
+    True
+
+    """
+    offset = start % len(_BLOCK)
+    repeats = (offset + end - start) // len(_BLOCK) + 1
+    return (_BLOCK * repeats)[offset : offset + end - start]
+
+
+def etag(path: str, size: int, version: int) -> str:
+    """Return the entity tag of a body."""
+    digest = hashlib.sha256(f"{path} {size} {version}".encode()).hexdigest()
+    return f'"{digest[:16]}"'
+
+
+def parse_range(value: str | None, size: int) -> ByteRange | None:
+    """Return the positions of a ``Range`` header, or ``None`` for the whole body.
+
+    Examples
+    ========
+
+    >>> parse_range("bytes=2-", 10)
+    ByteRange(start=2, end=10)
+    >>> parse_range("bytes=2-4", 10)
+    ByteRange(start=2, end=5)
+    >>> parse_range("bytes=10-", 10) is None
+    True
+
+    """
+    match = _RANGE.fullmatch(value or "")
+    if match is None:
+        return None
+    start = int(match[1])
+    end = min(int(match[2]) + 1, size) if match[2] else size
+    return ByteRange(start, end) if start < end else None
