Add relaying between VMs, complete bodies and two stand-ins

Cause: requests reach the owner of a shard through other VMs, over connections that can die or go silent in one direction only. Ruled out: a keep-alive per request, which costs a message per request and interval, and one per connection without names, which hides a request that the peer never received; each side names the requests it knows once per interval and connection. Ruled out: dropping all lanes to a peer when one connection is silent, which would cut long downloads on a healthy connection.

--- a/src/hibiscushaven/delivery/__init__.py
+++ b/src/hibiscushaven/delivery/__init__.py
@@ -1,9 +1,13 @@
 """HTTP attempts on backend servers, their outcomes, and relaying between VMs."""
 
 from .attempts import AttemptHead, AttemptRequest
+from .bodies import CompleteBody, Resume
 from .client import BackendClient, ClientTimeouts
 from .headers import Headers, end_to_end, find_header
 from .outcome import AttemptError, Outcome, Stop, outcome_of
+from .relay import RelayClient, RelayError, RelayResponse
+from .relay_messages import RelayRequest
+from .relay_server import RelayHandler, RelayServer, Responder
 
 __all__ = [
     "AttemptError",
@@ -11,8 +15,17 @@
     "AttemptRequest",
     "BackendClient",
     "ClientTimeouts",
+    "CompleteBody",
     "Headers",
     "Outcome",
+    "RelayClient",
+    "RelayError",
+    "RelayHandler",
+    "RelayRequest",
+    "RelayResponse",
+    "RelayServer",
+    "Responder",
+    "Resume",
     "Stop",
     "end_to_end",
     "find_header",
--- a/src/hibiscushaven/peers/hub.py
+++ b/src/hibiscushaven/peers/hub.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -79,6 +79,7 @@
 
 
 Handler = Callable[[PeerLink, Message], Awaitable[None]]
+CloseListener = Callable[[PeerLink], None]
 
 
 class PeerHub:
@@ -96,7 +97,8 @@
     ) -> None:
         self._identity = identity
         self._handler = handler
-        self._on_close = on_close
+        self._close_listeners: list[CloseListener] = [on_close]
+        self._handlers: dict[type[Message], Handler] = {}
         self._server: asyncio.Server | None = None
         self._links: dict[tuple[Endpoint, Lane], PeerLink] = {}
         self._dialing: dict[tuple[Endpoint, Lane], asyncio.Task[PeerLink]] = {}
@@ -106,6 +108,16 @@
     def identity(self) -> PeerIdentity:
         return self._identity
 
+    def subscribe(self, kinds: Iterable[type[Message]], handler: Handler) -> None:
+        """Give messages of some kinds to a handler of their own, in place of the hub's."""
+        for kind in kinds:
+            if self._handlers.setdefault(kind, handler) is not handler:
+                raise ValueError(f"messages {kind.__name__} already have a handler")
+
+    def add_close_listener(self, listener: CloseListener) -> None:
+        """Call ``listener`` too when a connection ended."""
+        self._close_listeners.append(listener)
+
     async def listen(self) -> None:
         """Accept connections on the identity's address."""
         self._server = await asyncio.start_server(
@@ -150,6 +162,16 @@
             if link is not None:
                 link.stream.close()
 
+    def drop_link(self, link: PeerLink) -> None:
+        """Reset one connection that is silent; the other lanes to the peer stay open.
+
+        A silent connection never confirms a regular close, so that its unsent data would be
+        kept and its end would not be noticed.
+        """
+        for key in [key for key, item in self._links.items() if item is link]:
+            del self._links[key]
+        link.stream.abort()
+
     async def _dial(self, endpoint: Endpoint, lane: Lane) -> PeerLink:
         try:
             async with asyncio.timeout(_CONNECT_TIMEOUT_S):
@@ -190,14 +212,16 @@
     async def _serve(self, link: PeerLink, endpoint: Endpoint | None) -> None:
         try:
             while True:
-                await self._handler(link, await link.stream.receive())
+                item = await link.stream.receive()
+                await self._handlers.get(type(item), self._handler)(link, item)
         except (PeerClosedError, DecodeError) as error:
             _LOG.debug("peer connection ended", extra={"vm": link.identity.vm, "why": str(error)})
         finally:
             link.stream.close()
             if endpoint is not None and self._links.get((endpoint, link.lane)) is link:
                 del self._links[(endpoint, link.lane)]
-            self._on_close(link)
+            for listener in self._close_listeners:
+                listener(link)
 
     def _hello(self, lane: Lane) -> Hello:
         own = self._identity
--- a/src/hibiscushaven/peers/stream.py
+++ b/src/hibiscushaven/peers/stream.py
@@ -75,3 +75,7 @@
 
     def close(self) -> None:
         self._writer.close()
+
+    def abort(self) -> None:
+        """Reset the connection without sending what is in its buffer."""
+        self._writer.transport.abort()
--- a/src/hibiscushaven/standins/__init__.py
+++ b/src/hibiscushaven/standins/__init__.py
@@ -2,12 +2,19 @@
 
 from .backend import BackendStandIn, run_backend, run_backends
 from .backend_model import BackendConfig, BackendFaults, Counters
+from .forwarder import Direction, Forwarder, run_forwarder
+from .platform import PlatformStandIn, run_platform
 
 __all__ = [
     "BackendConfig",
     "BackendFaults",
     "BackendStandIn",
     "Counters",
+    "Direction",
+    "Forwarder",
+    "PlatformStandIn",
     "run_backend",
     "run_backends",
+    "run_forwarder",
+    "run_platform",
 ]
