--- a/src/hibiscushaven/bench/__init__.py
+++ b/src/hibiscushaven/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements of the parts on a virtual clock."""
+"""Measurements of the parts on a virtual clock, and of whole processes."""
