Share control connections between two VMs, remember total arrivals

Cause: each VM sent on a connection of its own, so that one end heard nothing and closed it as silent; a failure domain that was cut off refused most of its own callers, because it took its own arrivals for the whole service. Change: both VMs use the connection of the lower address, and the total of arrivals fades over a minute.

--- a/src/hibiscushaven/commands/client.py
+++ b/src/hibiscushaven/commands/client.py
@@ -77,7 +77,9 @@
 ) -> Answer:
     """Call an entry VM; end the command if it cannot be reached."""
     if not entry_url.startswith(("http://", "https://")):
-        fail(f"--entry {entry_url!r}: expected an address such as http://127.0.0.1:8080", EXIT_USAGE)
+        fail(
+            f"--entry {entry_url!r}: expected an address such as http://127.0.0.1:8080", EXIT_USAGE
+        )
     token = _token(token_file)
     all_headers = dict(headers or {})
     if token:
--- a/src/hibiscushaven/commands/standin.py
+++ b/src/hibiscushaven/commands/standin.py
@@ -11,9 +11,9 @@
 from hibiscushaven.operators import token_digest
 from hibiscushaven.platform import MemoryPlatform, Write
 from hibiscushaven.settings import Deployment, load_deployment
-from hibiscushaven.standins.backend import run_backends
-from hibiscushaven.standins.platform import run_platform
+from hibiscushaven.standins import run_platform
 
+from .backends import run_document_backends
 from .loading import load_documents
 from .output import EXIT_USAGE, fail_with_problems
 
@@ -59,7 +59,7 @@
     if not paths:
         raise click.UsageError("give --document or --deployment")
     documents = parse_files(paths)
-    asyncio.run(run_backends(documents, failure_domain))
+    asyncio.run(run_document_backends(documents, failure_domain))
 
 
 @standin.command()
--- a/src/hibiscushaven/entry/node.py
+++ b/src/hibiscushaven/entry/node.py
@@ -124,14 +124,10 @@
 
     def _compose_documents(self) -> None:
         self.catalog = DocumentCatalog(lambda entry: self.documents.on_change(entry))
-        distributor = DocumentDistributor(
-            self.platform, self.catalog, self.identity.vm, time.time
-        )
+        distributor = DocumentDistributor(self.platform, self.catalog, self.identity.vm, time.time)
         self.distributor = distributor
         self.publisher = DocumentPublisher(self.platform, time.time)
-        self.documents = DocumentExchange(
-            self.catalog, distributor, self.membership, self.mail
-        )
+        self.documents = DocumentExchange(self.catalog, distributor, self.membership, self.mail)
 
     def _compose_requests(self) -> None:
         settings = self.settings
@@ -157,7 +153,7 @@
         )
         self.relay_server = RelayServer(self.hub, self.routes.serve)
         self.claims = ClaimKeeper(
-            self.platform, self.identity.incarnation, boot_time, Pace(boot_time)
+            self.platform, self.identity.incarnation, boot_time, Pace(boot_time, asyncio.sleep)
         )
         self.router = RequestRouter(self.claims, self.routes)
         own = EntryVm(
@@ -188,7 +184,9 @@
         now = boot_time()
         self.mail.post_all(self.membership.tick(now))
         view = self.membership.view
-        self.slots.set_documents({item.document.name: item.document for item in self.catalog.entries})
+        self.slots.set_documents(
+            {item.document.name: item.document for item in self.catalog.entries}
+        )
         self.mail.post_all(self.slots.tick(now, view))
         self.owners.refresh()
         self.steering.refresh()
--- a/src/hibiscushaven/entry/probes.py
+++ b/src/hibiscushaven/entry/probes.py
@@ -24,7 +24,9 @@
     async def step(self) -> None:
         """Ask every owned backend server once."""
         pairs = [
-            (runner, server) for runner in self._owners.runners.values() for server in runner.servers
+            (runner, server)
+            for runner in self._owners.runners.values()
+            for server in runner.servers
         ]
         await asyncio.gather(*(self._ask(runner, server) for runner, server in pairs))
 
@@ -38,4 +40,3 @@
         except (ValueError, KeyError, TypeError):
             return
         runner.report_load(server.name, in_progress, 0.0)
-
--- a/src/hibiscushaven/entry/shard_runner.py
+++ b/src/hibiscushaven/entry/shard_runner.py
@@ -260,7 +260,9 @@
         server = self._servers.get(start.server)
         if job is None or server is None:
             result = AttemptResult(ResultKind.NOT_SENT)
-            self._later(lambda: self._dispatcher.attempt_ended(boot_time(), start.attempt_id, result))
+            self._later(
+                lambda: self._dispatcher.attempt_ended(boot_time(), start.attempt_id, result)
+            )
             return
         attempt = _Attempt(start, job, server)
         self._attempts[start.attempt_id] = attempt
--- a/src/hibiscushaven/entry/steering.py
+++ b/src/hibiscushaven/entry/steering.py
@@ -9,6 +9,7 @@
 
 from .clock import boot_time
 from .neighbours import Neighbours
+from .totals import DecayingMaximum
 
 __all__ = ["Steering"]
 
@@ -17,7 +18,11 @@
 # could have arrived, none of them counts as unreachable.
 _START_GRACE_S = 4.0
 # Requests a second below which a place's share is a few requests, which overload nothing.
-_LEAST_TOTAL_RATE = 20.0
+_LEAST_TOTAL_RATE = 200.0
+_LEAST_RATE = 0.001
+# A failure domain that is cut off hears only its own arrivals. They are still a part of the
+# service's total, which is remembered until the shares have followed.
+_TOTAL_MEMORY_S = 60.0
 
 
 @combiner("shares")
@@ -53,6 +58,7 @@
         self._revisions: dict[str, int] = {}
         self._flows: dict[str, Flows] = {}
         self._foreign: dict[str, ForeignAdmission] = {}
+        self._totals: dict[str, DecayingMaximum] = {}
         self._started_at = boot_time()
         self._refreshed_at = float("-inf")
 
@@ -106,7 +112,9 @@
             self._refresh_service(now, entry)
         self._membership.set_part("arrivals", _rounded(self._rates.rates(now)))
         shares = {
-            name: _rounded(ramp.shares(now)) for name, ramp in self._ramps.items() if self._revisions
+            name: _rounded(ramp.shares(now))
+            for name, ramp in self._ramps.items()
+            if self._revisions
         }
         self._membership.set_part("shares", shares)
 
@@ -115,7 +123,7 @@
         ramp = self._ramps.setdefault(document.name, ShareRamp())
         if self._revisions.get(document.name) != entry.revision:
             self._revisions[document.name] = entry.revision
-            ramp.set_document(now, document, entry.ramp)
+            ramp.set_document(now, document, entry.ramp or None)
         if now - self._started_at > _START_GRACE_S:
             reachable = self._neighbours.reachable_domains()
             places = (p.name for p in document.places if p.failure_domain in reachable)
@@ -125,14 +133,15 @@
         arrivals = self._arrivals(now, document.name)
         shares = ramp.shares_by_domain(now)
         regions = {place.failure_domain: place.region for place in document.places}
-        self._flows[document.name] = plan_flows(arrivals, shares, regions)
+        heard = sum(arrivals.values())
+        total = self._totals.setdefault(document.name, DecayingMaximum(_TOTAL_MEMORY_S))
+        scale = total.update(now, heard) / heard
+        scaled = {domain: share * scale for domain, share in shares.items()}
+        self._flows[document.name] = plan_flows(arrivals, scaled, regions)
         own = self._neighbours.domain
         if own in shares:
             self._foreign.setdefault(document.name, ForeignAdmission()).set_limit(
-                now,
-                shares[own],
-                max(sum(arrivals.values()), _LEAST_TOTAL_RATE),
-                arrivals.get(own, 0.0),
+                now, shares[own], max(total.value, _LEAST_TOTAL_RATE), arrivals[own]
             )
 
     def _arrivals(self, now: float, service: str) -> dict[str, float]:
@@ -144,7 +153,7 @@
             for vm in self._membership.view.up
             if vm != self._membership.identity.vm
         )
-        arrivals = {own: mine + sum(others)}
+        arrivals = {own: max(_LEAST_RATE, mine + sum(others))}
         for domain in self._neighbours.reachable_domains() - {own}:
             rates = self._membership.digest_part(domain, "arrivals") or {}
             arrivals[domain] = rates.get(service, 0.0)
--- a/src/hibiscushaven/logs/setup.py
+++ b/src/hibiscushaven/logs/setup.py
@@ -36,11 +36,11 @@
 
 class _TextFormatter(logging.Formatter):
     def format(self, record: logging.LogRecord) -> str:
-        fields = (
+        fields = [
             f"{key}={value!r}"
             for key, value in vars(record).items()
             if key not in _STANDARD and key not in ("message", "asctime")
-        )
+        ]
         return " ".join((super().format(record), *fields))
 
 
--- a/src/hibiscushaven/membership/node.py
+++ b/src/hibiscushaven/membership/node.py
@@ -77,6 +77,10 @@
         """The latest digest of each other failure domain."""
         return self._digests.latest(self._now or 0.0)
 
+    @property
+    def is_leaving(self) -> bool:
+        return self._is_leaving
+
     @property
     def is_relay(self) -> bool:
         return self._own.vm in self._relays()
--- a/src/hibiscushaven/peers/hub.py
+++ b/src/hibiscushaven/peers/hub.py
@@ -15,6 +15,7 @@
 
 _LOG = logging.getLogger(__name__)
 _CONNECT_TIMEOUT_S = 1.0
+_CONTROL_SILENCE_S = 1.6
 
 
 class Lane(StrEnum):
@@ -131,14 +132,19 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def open_link(self, endpoint: Endpoint, lane: Lane) -> PeerLink | None:
+        """Return the open connection to a peer, if there is one."""
+        link = self._links.get((endpoint, lane))
+        return link if link is not None and not link.stream.is_closing else None
+
     async def link(self, endpoint: Endpoint, lane: Lane) -> PeerLink:
         """Return an open connection to a peer, opening one if there is none.
 
         :raises PeerClosedError: when the peer cannot be reached.
         """
         key = (endpoint, lane)
-        link = self._links.get(key)
-        if link is not None and not link.stream.is_closing:
+        link = self.open_link(endpoint, lane)
+        if link is not None:
             return link
         task = self._dialing.get(key)
         if task is None:
@@ -168,9 +174,12 @@
         A silent connection never confirms a regular close, so that its unsent data would be
         kept and its end would not be noticed.
         """
+        self._forget(link)
+        link.stream.abort()
+
+    def _forget(self, link: PeerLink) -> None:
         for key in [key for key, item in self._links.items() if item is link]:
             del self._links[key]
-        link.stream.abort()
 
     async def _dial(self, endpoint: Endpoint, lane: Lane) -> PeerLink:
         try:
@@ -190,9 +199,8 @@
             stream.close()
             raise PeerClosedError(f"{endpoint} sent {hello.kind!r} before its greeting")
         link = PeerLink(hello.identity, lane, stream)
-        self._links[(endpoint, lane)] = link
-        self._spawn(self._serve(link, endpoint))
-        return link
+        self._spawn(self._serve(link))
+        return self._register(endpoint, link, is_dialed=True)
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         stream = PeerStream(reader, writer)
@@ -207,9 +215,25 @@
             _LOG.info("peer connection refused", extra={"reason": str(error)})
             stream.close()
             return
-        self._spawn(self._serve(PeerLink(hello.identity, lane, stream), None))
+        link = PeerLink(hello.identity, lane, stream)
+        if lane is Lane.CONTROL:
+            self._register(hello.identity.endpoint, link, is_dialed=False)
+        self._spawn(self._serve(link))
+
+    def _register(self, endpoint: Endpoint, link: PeerLink, is_dialed: bool) -> PeerLink:
+        """Use a connection for sending from now on, and return the one to use.
+
+        Control messages of both VMs share the connection that the VM with the lower address
+        opened. Each then hears the other on it, so that silence means a lost path.
+        """
+        known = self.open_link(endpoint, link.lane)
+        is_preferred = is_dialed == (self._identity.endpoint < endpoint)
+        if known is None or link.lane is not Lane.CONTROL or is_preferred:
+            self._links[(endpoint, link.lane)] = link
+            return link
+        return known
 
-    async def _serve(self, link: PeerLink, endpoint: Endpoint | None) -> None:
+    async def _serve(self, link: PeerLink) -> None:
         try:
             while True:
                 item = await link.stream.receive()
@@ -218,8 +242,7 @@
             _LOG.debug("peer connection ended", extra={"vm": link.identity.vm, "why": str(error)})
         finally:
             link.stream.close()
-            if endpoint is not None and self._links.get((endpoint, link.lane)) is link:
-                del self._links[(endpoint, link.lane)]
+            self._forget(link)
             for listener in self._close_listeners:
                 listener(link)
 
@@ -244,7 +267,8 @@
 def _idle_timeout(lane: Lane) -> float | None:
     """Return the silence after which a connection is closed, in seconds.
 
-    Control connections carry heartbeats both ways. The others are silent between
-    requests; a request on them has its own progress timeout.
+    Control connections carry heartbeats or digests both ways, so that silence is noticed
+    before the peer counts as down. The others are silent between requests; a request on
+    them has its own progress timeout.
     """
-    return 5.0 if lane is Lane.CONTROL else None
+    return _CONTROL_SILENCE_S if lane is Lane.CONTROL else None
--- a/src/hibiscushaven/settings/deployment.py
+++ b/src/hibiscushaven/settings/deployment.py
@@ -78,7 +78,13 @@
         """The list of VMs, as the platform has it."""
         return tuple(
             VmEntry(
-                vm.name, vm.failure_domain, vm.region, vm.host, vm.peer_port, VmState.LIVE, vm.http_port
+                vm.name,
+                vm.failure_domain,
+                vm.region,
+                vm.host,
+                vm.peer_port,
+                VmState.LIVE,
+                vm.http_port,
             )
             for vm in self.vms
         )
@@ -127,9 +133,7 @@
     )
 
 
-def settings_for(
-    deployment: Deployment, vm: str
-) -> Result[Settings, tuple[IniProblem, ...]]:
+def settings_for(deployment: Deployment, vm: str) -> Result[Settings, tuple[IniProblem, ...]]:
     """Return the settings of one VM of a deployment."""
     for settings in deployment.vms:
         if settings.name == vm:
--- a/src/hibiscushaven/settings/vm.py
+++ b/src/hibiscushaven/settings/vm.py
@@ -35,9 +35,7 @@
         Field("http_port", integer(1, 65535), 8080, False),
         Field("peer_port", integer(1, 65535), 7070, False),
     ),
-    "peers": (
-        Field("seeds", text(r"[0-9a-fA-F.:\[\] \n]*", "IP numbers and ports"), "", False),
-    ),
+    "peers": (Field("seeds", text(r"[0-9a-fA-F.:\[\] \n]*", "IP numbers and ports"), "", False),),
     **COMMON_LAYOUT,
 }
 
