--- a/src/hibiscushaven/delivery/__init__.py
+++ b/src/hibiscushaven/delivery/__init__.py
@@ -5,6 +5,7 @@
 from .client import BackendClient, ClientTimeouts
 from .headers import Headers, end_to_end, find_header
 from .outcome import AttemptError, Outcome, Stop, outcome_of
+from .passing import pass_on
 from .relay import RelayClient, RelayError, RelayResponse
 from .relay_messages import RelayRequest
 from .relay_server import RelayHandler, RelayServer, Responder
@@ -30,4 +31,5 @@
     "end_to_end",
     "find_header",
     "outcome_of",
+    "pass_on",
 ]
--- a/src/hibiscushaven/delivery/client.py
+++ b/src/hibiscushaven/delivery/client.py
@@ -22,7 +22,10 @@
 __all__ = ["BackendClient", "ClientTimeouts"]
 
 _LOG = logging.getLogger(__name__)
+_METHOD = re.compile(r"(?!CONNECT$)[A-Z][A-Z-]*")
 _TARGET = re.compile(r"/[!-\"$-~\x80-\uffff]*")
+_HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+_CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 _BODILESS_STATUSES = frozenset({204, 304})
 _MAX_CONTROL_BYTES = 16 * 1024
 _DEFAULT_CONNECTIONS = 64
@@ -38,11 +41,13 @@
 
     :ivar connect: time to open a connection.
     :ivar progress: time without a byte after which a connection counts as silent.
+    :ivar idle: time after which an idle connection is closed.
     :ivar control: time of a call of a ``/-/`` endpoint.
     """
 
     connect: float = 1.0
     progress: float = 2.0
+    idle: float = 15.0
     control: float = 1.0
 
 
@@ -86,8 +91,7 @@
 
         :raises AttemptError: when there is no response that belongs to the attempt.
         """
-        if not _TARGET.fullmatch(request.target):
-            raise AttemptError(Stop.INVALID, f"target {request.target!r}")
+        _check_request(request)
         transmission = Transmission(request.guard)
         pool = self._pool(request.tenant, request.server)
         session = await _enter(pool, request)
@@ -97,7 +101,7 @@
             end_to_end(tuple(response.headers.items())),
             request,
             self._timeouts.progress,
-            partial(self._end, pool, request),
+            partial(self._end, pool),
         )
         try:
             _check_head(head, request)
@@ -123,7 +127,7 @@
                 return await _exchange_control(pool, server, method, path, transmission)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             if transmission.is_sent and isinstance(error, TimeoutError):
-                self.empty_pool(server)
+                self._empty(pool)
             _LOG.debug("no answer", extra={"server": str(server), "why": repr(error)})
             return None
 
@@ -132,8 +136,8 @@
 
         Requests in progress keep their connections until they end.
         """
-        for key in [key for key in self._pools if key[1] == server]:
-            self._retire(key)
+        for pool in [pool for (_, at), pool in self._pools.items() if at == server]:
+            self._empty(pool)
 
     def idle_connections(self, server: Endpoint) -> int:
         """Return the number of idle connections that a request could reuse."""
@@ -144,25 +148,26 @@
         limit = self._connection_limit(server)
         pool = self._pools.get(key)
         if pool is not None and pool.limit != limit:
-            self._retire(key)
+            self._empty(pool)
             pool = None
         if pool is None:
-            pool = self._pools[key] = Pool(limit)
+            pool = self._pools[key] = Pool(limit, self._timeouts.idle)
         return pool
 
-    def _retire(self, key: tuple[str, Endpoint]) -> None:
-        pool = self._pools.pop(key)
+    def _empty(self, pool: Pool) -> None:
+        for key in [key for key, item in self._pools.items() if item is pool]:
+            del self._pools[key]
         pool.drop_idle()
         task = asyncio.create_task(pool.retire())
         self._retirements.add(task)
         task.add_done_callback(self._retirements.discard)
 
-    async def _end(self, pool: Pool, request: AttemptRequest, stop: Stop | None) -> None:
+    async def _end(self, pool: Pool, stop: Stop | None) -> None:
         """Give back the connection of a response that ended."""
         # A complete response was given back to the pool before its id was looked at, so that
         # after a wrong id the pool is emptied to close its connection.
         if stop in (Stop.SILENT, Stop.WRONG_ATTEMPT_ID):
-            self.empty_pool(request.server)
+            self._empty(pool)
         await pool.leave()
 
     async def _send(
@@ -179,7 +184,7 @@
             stop = _stop_of(error, transmission)
             is_suspect = stop is Stop.DEADLINE and transmission.is_reused
             if stop is Stop.SILENT or is_suspect:
-                self.empty_pool(request.server)
+                self._empty(pool)
             await pool.leave()
             if stop is None:
                 raise
@@ -228,6 +233,15 @@
     return await handler(request)
 
 
+def _check_request(request: AttemptRequest) -> None:
+    """Refuse what would not arrive as one request with these headers."""
+    if not (_METHOD.fullmatch(request.method) and _TARGET.fullmatch(request.target)):
+        raise AttemptError(Stop.INVALID, f"request {request.method!r} {request.target!r}")
+    for name, value in request.headers:
+        if not _HEADER_NAME.fullmatch(name) or _CONTROL_CHARACTER.search(value):
+            raise AttemptError(Stop.INVALID, f"header {name!r}")
+
+
 def _request_headers(request: AttemptRequest) -> list[tuple[str, str]]:
     headers = [
         item for item in end_to_end(request.headers) if item[0].lower() not in _OWN_REQUEST_HEADERS
@@ -263,11 +277,12 @@
 
 def _stop_of(error: BaseException, transmission: Transmission) -> Stop | None:
     """Return where an attempt stopped, or ``None`` for an error that is not its own."""
+    if not isinstance(error, Exception):
+        return None
     if transmission.is_refused or isinstance(error, GuardRefusedError):
         return Stop.GUARD_REFUSED
-    if isinstance(error, aiohttp.ClientError | OSError) and not transmission.is_sent:
-        is_deadline = type(error) is TimeoutError
-        return Stop.DEADLINE_BEFORE_SENDING if is_deadline else Stop.NOT_CONNECTED
+    if not transmission.is_sent:
+        return _stop_before_sending(error)
     match error:
         case aiohttp.SocketTimeoutError():
             return Stop.SILENT
@@ -280,6 +295,12 @@
     return None
 
 
+def _stop_before_sending(error: Exception) -> Stop | None:
+    if type(error) is TimeoutError:
+        return Stop.DEADLINE_BEFORE_SENDING
+    return Stop.NOT_CONNECTED if isinstance(error, aiohttp.ClientError | OSError) else None
+
+
 async def _exchange_control(
     pool: Pool, server: Endpoint, method: str, path: str, transmission: Transmission
 ) -> tuple[int, bytes]:
--- a/src/hibiscushaven/delivery/pools.py
+++ b/src/hibiscushaven/delivery/pools.py
@@ -9,7 +9,6 @@
 
 __all__ = ["GuardRefusedError", "Pool", "Transmission"]
 
-IDLE_TIMEOUT_S = 15.0
 _READ_BUFFER_BYTES = 64 * 1024
 
 
@@ -67,14 +66,15 @@
     aiohttp's own limit is per connector, so a gate limits the two connectors together.
 
     :param limit: most connections open at a time, idle ones included.
+    :param idle_timeout_s: time after which an idle connection is closed.
     """
 
-    def __init__(self, limit: int) -> None:
+    def __init__(self, limit: int, idle_timeout_s: float) -> None:
         self.limit = limit
         self._gate = asyncio.Semaphore(limit)
         self._in_use = 0
         self._is_retired = False
-        self._reusing = _session(aiohttp.TCPConnector(limit=0, keepalive_timeout=IDLE_TIMEOUT_S))
+        self._reusing = _session(aiohttp.TCPConnector(limit=0, keepalive_timeout=idle_timeout_s))
         self._fresh = _session(aiohttp.TCPConnector(limit=0, force_close=True))
 
     @property
@@ -107,7 +107,6 @@
         connections = self._reusing.connector._conns
         for items in connections.values():
             for protocol, _ in items:
-                # A silent peer never acknowledges a close, so the connection is reset.
                 protocol.abort()
         connections.clear()
 
--- a/src/hibiscushaven/delivery/relay.py
+++ b/src/hibiscushaven/delivery/relay.py
@@ -51,9 +51,8 @@
 class _Exchange(Watched):
     """A request in progress, and what has arrived of its response."""
 
-    def __init__(self, link: PeerLink, number: int, deadline: float) -> None:
+    def __init__(self, link: PeerLink, number: int) -> None:
         super().__init__(link, number)
-        self.deadline = deadline
         self.head: RelayHead | None = None
         self.chunks: deque[bytes] = deque()
         self.received = 0
@@ -61,6 +60,7 @@
         self.taken = 0
         self.is_complete = False
         self.error: RelayError | None = None
+        self.timer: asyncio.TimerHandle | None = None
         self._arrival = asyncio.Event()
 
     @property
@@ -87,15 +87,8 @@
         self._arrival.set()
 
     async def wait(self) -> None:
-        """Wait for something to arrive.
-
-        :raises RelayError: at the deadline.
-        """
-        try:
-            async with asyncio.timeout_at(self.deadline):
-                await self._arrival.wait()
-        except TimeoutError:
-            raise RelayError(Outcome.UNKNOWN, "no complete response by the deadline") from None
+        """Wait for something to arrive."""
+        await self._arrival.wait()
         self._arrival.clear()
 
 
@@ -124,6 +117,7 @@
         return self._exchange.buffered
 
     def close(self) -> None:
+        """Cancel the request at the peer unless the response is complete."""
         self._client._forget(self._exchange)
 
     async def __aiter__(self) -> AsyncIterator[bytes]:
@@ -208,10 +202,11 @@
                 link = await self._hub.link(endpoint, lane)
         except (PeerClosedError, TimeoutError) as error:
             raise RelayError(Outcome.NOT_RUN, f"no connection to {endpoint}") from error
-        remaining_ms = int((deadline - asyncio.get_running_loop().time()) * 1000)
+        loop = asyncio.get_running_loop()
+        remaining_ms = int((deadline - loop.time()) * 1000)
         if remaining_ms <= 0:
             raise RelayError(Outcome.NOT_RUN, "the deadline passed before sending")
-        exchange = _Exchange(link, next(self._numbers), deadline)
+        exchange = _Exchange(link, next(self._numbers))
         item = replace(
             request, exchange=exchange.number, remaining_ms=remaining_ms, hops=request.hops + 1
         )
@@ -220,6 +215,9 @@
         except PeerClosedError as error:
             raise RelayError(Outcome.NOT_RUN, f"connection to {endpoint} closed") from error
         self._exchanges[exchange.number] = exchange
+        exchange.timer = loop.call_at(
+            deadline, self._forget, exchange, "no response by the deadline"
+        )
         self._keep_alive.ensure_running()
         return exchange
 
@@ -275,12 +273,14 @@
         amount, exchange.taken = exchange.taken, 0
         self._send_quietly(exchange.link, RelayCredit(exchange.number, amount))
 
-    def _forget(self, exchange: _Exchange) -> None:
+    def _forget(self, exchange: _Exchange, reason: str = "closed by the caller") -> None:
         """End an exchange; cancel it at the peer if it had not ended there."""
         if self._exchanges.pop(exchange.number, None) is None:
             return
+        if exchange.timer is not None:
+            exchange.timer.cancel()
         if not exchange.is_ended:
-            exchange.fail(RelayError(Outcome.UNKNOWN, "closed by the caller"))
+            exchange.fail(RelayError(Outcome.UNKNOWN, reason))
             self._send_quietly(exchange.link, RelayCancel(exchange.number))
 
     def _send_quietly(self, link: PeerLink, item: Message) -> None:
--- a/src/hibiscushaven/peers/hub.py
+++ b/src/hibiscushaven/peers/hub.py
@@ -163,7 +163,7 @@
                 link.stream.close()
 
     def drop_link(self, link: PeerLink) -> None:
-        """Reset one connection that is silent; the other lanes to the peer stay open.
+        """Close one connection that is silent at once; the other lanes to the peer stay open.
 
         A silent connection never confirms a regular close, so that its unsent data would be
         kept and its end would not be noticed.
--- a/src/hibiscushaven/peers/stream.py
+++ b/src/hibiscushaven/peers/stream.py
@@ -77,5 +77,5 @@
         self._writer.close()
 
     def abort(self) -> None:
-        """Reset the connection without sending what is in its buffer."""
+        """Close the connection at once, without sending what is in its buffer."""
         self._writer.transport.abort()
--- a/src/hibiscushaven/standins/backend.py
+++ b/src/hibiscushaven/standins/backend.py
@@ -99,6 +99,8 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         try:
             return await self._answer(request)
+        except ConnectionError:
+            return _unsent()
         except SilentError:
             await self.sockets.wait_for_abort()
             return _unsent()
@@ -248,6 +250,9 @@
             if task.exception() is not None:
                 return web.Response(status=504, headers=_UNKNOWN | attempt_id)
             self.counters.finished += 1
+            if self.faults.unanswered > 0:
+                self.faults.unanswered -= 1
+                return _close_unanswered(request)
             return await send_body(request, work, attempt_id, self)
         finally:
             task.cancel()
@@ -269,6 +274,12 @@
         return factor
 
 
+def _close_unanswered(request: web.BaseRequest) -> web.StreamResponse:
+    if request.transport is not None:
+        request.transport.close()
+    return _unsent()
+
+
 def _unsent() -> web.StreamResponse:
     """Return what the HTTP library needs from a handler whose connection was reset."""
     return web.Response()
--- a/src/hibiscushaven/standins/backend_model.py
+++ b/src/hibiscushaven/standins/backend_model.py
@@ -63,6 +63,7 @@
     :ivar load_lie: number in progress that load reports give instead of the true one.
     :ivar ignores_cancel: confirm cancellations and run on.
     :ivar wrong_ids: number of coming responses with another ``Attempt-Id``.
+    :ivar unanswered: number of coming requests that run and whose connection is then closed.
     :ivar stops: what happens to coming responses: pairs of a ``StopKind`` and the number of
         bytes sent before.
     :ivar crash_on: requests whose target contains this text crash the server.
@@ -77,6 +78,7 @@
     load_lie: int | None = None
     ignores_cancel: bool = False
     wrong_ids: int = 0
+    unanswered: int = 0
     stops: list[tuple[str, int]] = field(default_factory=list)
     crash_on: str = ""
     crash_s: float = 1.0
--- a/src/hibiscushaven/standins/backend_response.py
+++ b/src/hibiscushaven/standins/backend_response.py
@@ -6,6 +6,7 @@
 
 from .backend_model import StopKind, Work
 from .content import ByteRange, content, etag, parse_range
+from .sockets import reset
 
 if TYPE_CHECKING:
     from .backend import BackendStandIn
@@ -24,9 +25,9 @@
     response = web.StreamResponse(status=work.status if part is None else 206)
     response.headers.update({"Request-Outcome": "run", "ETag": tag, "Accept-Ranges": "bytes"})
     response.headers.update(attempt_id)
-    response.headers.update(_extra_headers(request))
     if part is not None:
         response.headers["Content-Range"] = f"bytes {part.start}-{part.end - 1}/{work.body_bytes}"
+    response.headers.update(_extra_headers(request))
     part = part or ByteRange(0, work.body_bytes)
     if work.is_chunked:
         response.enable_chunked_encoding()
@@ -83,7 +84,7 @@
         case StopKind.TRUNCATE:
             transport.close()
         case StopKind.RESET:
-            transport.abort()
+            reset(transport)
         case StopKind.STALL:
             stand_in.sockets.silence_one(transport)
             stand_in.sockets.raise_if_silent(transport)
--- a/src/hibiscushaven/standins/forwarder.py
+++ b/src/hibiscushaven/standins/forwarder.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from enum import Flag, auto
 
+from .sockets import reset
+
 __all__ = ["Direction", "Forwarder", "run_forwarder"]
 
 _READ_BYTES = 64 * 1024
@@ -51,7 +53,7 @@
 
     def reset(self) -> None:
         for writer in self._writers:
-            writer.transport.abort()
+            reset(writer.transport)
 
     async def _copy(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, direction: Direction
@@ -159,7 +161,7 @@
         try:
             server = await asyncio.open_connection(*self._target)
         except OSError:
-            writer.transport.abort()
+            reset(writer.transport)
             return
         pipe = _Pipe((reader, writer), server, self)
         pipe.cut = self._cut_new
--- a/src/hibiscushaven/standins/platform.py
+++ b/src/hibiscushaven/standins/platform.py
@@ -21,6 +21,8 @@
 )
 from hibiscushaven.platform.memory import Faults
 
+from .sockets import reset
+
 __all__ = ["PlatformStandIn", "run_platform"]
 
 _MAX_BODY_BYTES = 16 * 1024 * 1024
@@ -180,7 +182,7 @@
 def _lose_answer(request: web.Request) -> web.StreamResponse:
     """Reset the connection in place of an answer."""
     if request.transport is not None:
-        request.transport.abort()
+        reset(request.transport)
     return web.Response()
 
 
--- a/src/hibiscushaven/standins/sockets.py
+++ b/src/hibiscushaven/standins/sockets.py
@@ -1,19 +1,30 @@
 """Listening socket and connections of a stand-in, with the ways in which they fail."""
 
 import asyncio
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from weakref import WeakKeyDictionary, WeakSet
 
 from aiohttp import web
 
-__all__ = ["SilentError", "Sockets"]
+__all__ = ["SilentError", "Sockets", "reset"]
 
 _KEEPALIVE_S = 75.0
 _BACKLOG = 1024
+_LINGER_OFF = struct.pack("ii", 1, 0)
 
 _Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
+def reset(transport: asyncio.BaseTransport) -> None:
+    """Close a connection with a reset, which a plain abort sends only if data is unread."""
+    if not transport.is_closing():
+        own = transport.get_extra_info("socket")
+        own.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_OFF)
+    transport.abort()
+
+
 class SilentError(Exception):
     """The connection of a response is silent; nothing can be sent on it."""
 
@@ -98,7 +109,7 @@
             self._listener.close()
             self._listener = None
         for transport in tuple(self._numbers):
-            transport.abort()
+            reset(transport)
         self._aborted.set()
         self._aborted = asyncio.Event()
 
@@ -144,7 +155,8 @@
     def opened(self, transport: asyncio.BaseTransport) -> None:
         if self.open >= self._limit:
             self.refused += 1
-            transport.abort()
+            # aiohttp expects a connection to live until its task has started.
+            asyncio.get_running_loop().call_soon(reset, transport)
             return
         self.made += 1
         self._numbers[transport] = self.made
--- /dev/null
+++ b/src/hibiscushaven/standins/tests/test_platform.py
@@ -0,0 +1,91 @@
+"""The platform stand-in speaks what the platform's HTTP adapter reads."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import aiohttp
+import pytest
+
+from hibiscushaven.delivery.tests.support import HOST, in_loop
+from hibiscushaven.platform import (
+    ConflictError,
+    HttpPlatform,
+    OutcomeUnknownError,
+    Row,
+    UnavailableError,
+    VmEntry,
+    VmState,
+    Write,
+)
+from hibiscushaven.standins import PlatformStandIn
+
+
+@asynccontextmanager
+async def platform() -> AsyncIterator[tuple[PlatformStandIn, HttpPlatform]]:
+    stand_in = PlatformStandIn(clock=lambda: 1.0)
+    adapter = HttpPlatform(f"http://{HOST}:{await stand_in.start(HOST)}")
+    try:
+        yield stand_in, adapter
+    finally:
+        await adapter.close()
+        await stand_in.close()
+
+
+async def _post(stand_in: PlatformStandIn, path: str, body: object) -> int:
+    url = f"http://{HOST}:{stand_in.port}{path}"
+    async with aiohttp.ClientSession() as session, session.post(url, json=body) as response:
+        return response.status
+
+
+@in_loop
+async def test_table_and_objects() -> None:
+    """Guards against bytes, versions or absences that change on the way."""
+    async with platform() as (_, adapter):
+        assert await adapter.read("a") is None
+        writes = (Write("a/1", b"\x00\xff", 0), Write("a/2", b"", None))
+        assert await adapter.transact(writes) == {"a/1": 1, "a/2": 1}
+        assert await adapter.read("a/1") == Row("a/1", b"\x00\xff", 1)
+        assert [row.key for row in await adapter.read_prefix("a/")] == ["a/1", "a/2"]
+        with pytest.raises(ConflictError) as caught:
+            await adapter.transact((Write("a/1", b"x", 0), Write("b", b"x", 0)))
+        assert caught.value.keys == ("a/1",)
+        assert await adapter.read("b") is None
+        assert await adapter.get("o") is None
+        await adapter.put("o", b"\x01")
+        assert await adapter.get("o") == b"\x01"
+
+
+@in_loop
+async def test_failures() -> None:
+    """Guards against an unknown outcome that looks like a refusal, or the reverse."""
+    async with platform() as (stand_in, adapter):
+        stand_in.platform.faults.lost_answers = 1
+        with pytest.raises(OutcomeUnknownError):
+            await adapter.transact((Write("a", b"1", 0),))
+        assert await adapter.read("a") == Row("a", b"1", 1)
+        assert await _post(stand_in, "/faults", {"stale_reads": 1}) == 200
+        assert await adapter.read("a") is None
+        assert await _post(stand_in, "/faults", {"is_down": True}) == 200
+        with pytest.raises(UnavailableError):
+            await adapter.transact((Write("b", b"1", 0),))
+        with pytest.raises(UnavailableError):
+            await adapter.read("a")
+        assert await _post(stand_in, "/faults", {"is_dwon": True}) == 400
+
+
+@in_loop
+async def test_list_lags_and_calls_are_counted() -> None:
+    """Guards against a list that is better than a real one, and calls that are not counted."""
+    async with platform() as (stand_in, adapter):
+        vm = VmEntry("vm1", "serra-a", "serra", "10.0.0.1", 7000, VmState.LEAVING)
+        row = ["vm1", "serra-a", "serra", "10.0.0.1", 7000, "leaving"]
+        assert await _post(stand_in, "/vms", [row]) == 200
+        assert await adapter.list_vms() == (vm,)
+        await _post(stand_in, "/faults", {"list_lag": 1})
+        assert await adapter.list_vms() == ()
+        await adapter.transact((Write("a", b"1"), Write("b", b"1")))
+        url = f"http://{HOST}:{stand_in.port}/usage"
+        async with aiohttp.ClientSession() as session, session.get(url) as response:
+            usage = await response.json()
+        assert (usage["reads"], usage["writes"], usage["rows_written"]) == (2, 1, 2)
+        assert (usage["peak_reads_s"], usage["peak_writes_s"]) == (2, 1)
