--- a/src/hibiscushaven/entry/callers.py
+++ b/src/hibiscushaven/entry/callers.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import secrets
 from collections.abc import AsyncIterator, Callable
 from urllib.parse import quote
 
@@ -15,7 +14,7 @@
 from hibiscushaven.lookups import LookupAnswer
 
 from .classify import classify
-from .clock import boot_time
+from .clock import Clock
 from .problems import Problem, problem_response
 from .recorder import RequestRecorder
 from .requests import CallerAnswer, CallerRequest
@@ -48,6 +47,8 @@
         recorder: RequestRecorder,
         max_body_bytes: int,
         max_requests: int,
+        clock: Clock,
+        new_id: Callable[[], str],
     ) -> None:
         self._catalog = catalog
         self._router = router
@@ -55,6 +56,8 @@
         self._recorder = recorder
         self._max_body_bytes = max_body_bytes
         self._max_requests = max_requests
+        self._clock = clock
+        self._new_id = new_id
         self._in_progress = 0
 
     @property
@@ -73,13 +76,13 @@
         service = request.path_params["service"]
         found = self._look_up(service, request)
         if isinstance(found, Problem):
-            return problem_response(found, secrets.token_hex(8))
+            return problem_response(found, self._new_id())
         keep = f"max-age={int(found.keep_s)}"
         headers = {"cache-control": keep}
         return Response(found.to_json(), headers=headers, media_type="application/json")
 
     async def _carry(self, request: Request) -> Response:
-        request_id = secrets.token_hex(12)
+        request_id = self._new_id()
         if self._in_progress >= self._max_requests:
             problem = Problem(503, "too many requests in progress", retry_after_s=_RETRY_BUSY_S)
             return problem_response(problem, request_id)
@@ -94,7 +97,7 @@
                 self._in_progress -= 1
 
     async def _answer(self, request: Request, request_id: str) -> Response:
-        started = boot_time()
+        started = self._clock.now()
         body = await self._read_body(request)
         if body is None:
             detail = f"more than {self._max_body_bytes} bytes"
@@ -112,7 +115,7 @@
             return Response(status_code=499)
         if result.is_error():
             problem = result.error
-            self._recorder.refused(item, problem, boot_time() - started)
+            self._recorder.refused(item, problem, self._clock.now() - started)
             return problem_response(problem, request_id)
         return self._stream(item, result.ok, started)
 
@@ -128,7 +131,7 @@
 
     async def _body(self, item, answer: CallerAnswer, started: float) -> AsyncIterator[bytes]:
         is_complete = False
-        self._recorder.head(item, boot_time() - started)
+        self._recorder.head(item, self._clock.now() - started)
         try:
             async for chunk in answer.body:
                 yield chunk
@@ -141,7 +144,7 @@
             raise
         finally:
             self._in_progress -= 1
-            self._recorder.finished(item, boot_time() - started, is_complete)
+            self._recorder.finished(item, self._clock.now() - started, is_complete)
 
     async def _read_body(self, request: Request) -> bytes | None:
         """Return the body, or ``None`` if it is too long."""
@@ -215,7 +218,7 @@
     return token.strip() if scheme.lower() == "bearer" else None
 
 
-def _timeout_ms(request: Request) -> int | None | Problem:
+def _timeout_ms(request: Request) -> int | Problem | None:
     value = request.headers.get("request-timeout")
     if value is None:
         return None
--- a/src/hibiscushaven/entry/clock.py
+++ b/src/hibiscushaven/entry/clock.py
@@ -1,19 +1,30 @@
 """Clocks of a daemon."""
 
 import time
+from typing import Protocol
 
-__all__ = ["boot_time", "unix_ms"]
+__all__ = ["Clock", "SystemClock"]
 
 
-def boot_time() -> float:
-    """Return seconds since boot.
+class Clock(Protocol):
+    """Port to the time."""
 
-    Unlike the monotonic clock it goes on while the VM is suspended, so that loans held
-    before a suspension have expired after it.
+    def now(self) -> float:
+        """Return seconds on a clock that never goes back."""
+
+    def unix(self) -> float:
+        """Return the time of day in seconds since 1970."""
+
+
+class SystemClock:
+    """Clocks of the operating system.
+
+    ``now`` counts from boot and, unlike the monotonic clock, goes on while the VM is
+    suspended, so that loans held before a suspension have expired after it.
     """
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
 
+    def now(self) -> float:
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
-def unix_ms() -> int:
-    """Return the time of day in milliseconds since 1970."""
-    return time.time_ns() // 1_000_000
+    def unix(self) -> float:
+        return time.time()
--- a/src/hibiscushaven/entry/daemon.py
+++ b/src/hibiscushaven/entry/daemon.py
@@ -12,10 +12,10 @@
 from hibiscushaven.settings import Settings
 
 from .callers import CallerInterface
-from .clock import boot_time
 from .http_server import HttpServer
 from .node import EntryNode
 from .operator_context import NodeOperatorContext
+from .ports import NodePorts
 from .status import StatusInterface
 
 __all__ = ["EntryDaemon", "run_entry"]
@@ -39,7 +39,7 @@
             platform = self._own_platform = HttpPlatform(
                 settings.platform_url, settings.platform_timeout_s
             )
-        self._node = EntryNode(settings, platform)
+        self._node = EntryNode(settings, NodePorts(platform))
         self._status = StatusInterface(self._node)
         self._callers = CallerInterface(
             self._node.catalog,
@@ -48,6 +48,8 @@
             self._node.recorder,
             settings.max_body_bytes,
             settings.max_requests,
+            self._node.clock,
+            self._node.ports.new_id,
         )
         self._server = HttpServer(self._build_app(), settings.host, settings.http_port)
 
@@ -87,11 +89,11 @@
             await self._own_platform.close()
 
     async def _settle(self) -> None:
-        limit = boot_time() + _SETTLE_LIMIT_S
-        while boot_time() < limit and not await self._node.leave_roster():
+        limit = self._node.clock.now() + _SETTLE_LIMIT_S
+        while self._node.clock.now() < limit and not await self._node.leave_roster():
             await asyncio.sleep(_CHECK_S)
         try:
-            async with asyncio.timeout(max(0.0, limit - boot_time())):
+            async with asyncio.timeout(max(0.0, limit - self._node.clock.now())):
                 await self._node.claims.drain()
         except TimeoutError:
             _LOG.warning("claims not settled before the stop")
--- a/src/hibiscushaven/entry/node.py
+++ b/src/hibiscushaven/entry/node.py
@@ -2,13 +2,10 @@
 
 import asyncio
 import logging
-import random
-import secrets
-import time
 from collections.abc import Awaitable, Callable, Iterator
 
 from hibiscushaven.claims import ClaimKeeper, Pace
-from hibiscushaven.delivery import BackendClient, RelayClient, RelayServer
+from hibiscushaven.delivery import RelayClient, RelayServer
 from hibiscushaven.documents import DocumentCatalog
 from hibiscushaven.documents.distribution import DocumentDistributor
 from hibiscushaven.documents.publishing import DocumentPublisher
@@ -16,17 +13,17 @@
 from hibiscushaven.lookups import EntryVm
 from hibiscushaven.membership import MembershipNode, MemberState
 from hibiscushaven.metrics import MetricRegistry
-from hibiscushaven.peers import Message, PeerHub, PeerIdentity, PeerLink
-from hibiscushaven.platform import Platform, PlatformError
+from hibiscushaven.peers import Message, PeerIdentity, PeerLink
+from hibiscushaven.platform import PlatformError
 from hibiscushaven.settings import Settings
 from hibiscushaven.slots import RosterKeeper, SlotNode
 
-from .clock import boot_time
 from .documents import KINDS, DocumentExchange
 from .look_up import LookupDesk
 from .mail import Mail
 from .neighbours import Neighbours
 from .owners import ShardOwners
+from .ports import NodePorts
 from .probes import ServerProbes
 from .recorder import RequestRecorder
 from .router import RequestRouter
@@ -47,29 +44,30 @@
 class EntryNode:
     """The state of one entry VM and the loops that keep it up to date.
 
-    :param platform: the platform's services.
-    :param seed: seed of the random source; drawn by chance if ``None``.
+    :param ports: what it uses of the world outside.
     """
 
-    def __init__(self, settings: Settings, platform: Platform, seed: int | None = None) -> None:
+    def __init__(self, settings: Settings, ports: NodePorts) -> None:
         self.settings = settings
-        self.platform = platform
+        self.ports = ports
+        self.clock = ports.clock
+        self.platform = ports.platform
         self.identity = PeerIdentity(
             settings.name,
-            secrets.token_hex(8),
+            ports.new_id(),
             settings.failure_domain,
             settings.region,
             settings.host,
             settings.peer_port,
         )
-        self._rng = random.Random(secrets.randbits(64) if seed is None else seed)
+        self._rng = ports.rng
         self.metrics = MetricRegistry()
         self.recorder = RequestRecorder(self.metrics)
-        self.hub = PeerHub(self.identity, self._receive)
+        self.hub = ports.make_hub(self.identity, self._receive)
         self.mail = Mail(self.hub)
         self.membership = MembershipNode(self.identity, rng=self._rng)
         self.slots = SlotNode(self.identity)
-        self.roster = RosterKeeper(platform, self.identity)
+        self.roster = RosterKeeper(ports.platform, self.identity)
         self.neighbours = Neighbours(self.membership)
         self._compose_documents()
         self._compose_requests()
@@ -88,7 +86,7 @@
     async def start(self) -> None:
         """Listen for peers and start the loops."""
         await self.hub.listen()
-        self.membership.add_seeds(boot_time(), self.settings.seeds)
+        self.membership.add_seeds(self.clock.now(), self.settings.seeds)
         loops = (
             (_TICK_S, 0.0, self._tick),
             (_POLL_S, _JITTER, self._read_list),
@@ -114,24 +112,26 @@
     def begin_leaving(self) -> None:
         """Get no new callers, and hand over what this VM owns."""
         self.membership.set_part("leaving", [self.identity.vm])
-        self.membership.set_leaving(boot_time())
+        self.membership.set_leaving(self.clock.now())
         self.look_ups.set_leaving()
         self.slots.withdraw()
 
     async def leave_roster(self) -> bool:
         """Give up the slot tokens of this VM; return whether that is done."""
-        return self.slots.is_drained and await self.roster.leave(boot_time())
+        return self.slots.is_drained and await self.roster.leave(self.clock.now())
 
     def _compose_documents(self) -> None:
         self.catalog = DocumentCatalog(lambda entry: self.documents.on_change(entry))
-        distributor = DocumentDistributor(self.platform, self.catalog, self.identity.vm, time.time)
+        distributor = DocumentDistributor(
+            self.platform, self.catalog, self.identity.vm, self.clock.unix
+        )
         self.distributor = distributor
-        self.publisher = DocumentPublisher(self.platform, time.time)
+        self.publisher = DocumentPublisher(self.platform, self.clock.unix)
         self.documents = DocumentExchange(self.catalog, distributor, self.membership, self.mail)
 
     def _compose_requests(self) -> None:
         settings = self.settings
-        self.client = BackendClient(self._connection_limit)
+        self.client = self.ports.make_client(self._connection_limit)
         self.owners = ShardOwners(
             settings.failure_domain,
             self.catalog,
@@ -139,9 +139,12 @@
             self.client,
             lambda: self.membership.view,
             self._rng,
+            self.clock,
         )
         self.probes = ServerProbes(self.owners, self.client)
-        self.steering = Steering(self.catalog, self.membership, self.neighbours, self._rng)
+        self.steering = Steering(
+            self.catalog, self.membership, self.neighbours, self._rng, self.clock
+        )
         self.relay_client = RelayClient(self.hub)
         self.routes = Routes(
             self.catalog,
@@ -150,12 +153,17 @@
             self.steering,
             self.relay_client,
             self._rng,
+            self.clock,
         )
         self.relay_server = RelayServer(self.hub, self.routes.serve)
         self.claims = ClaimKeeper(
-            self.platform, self.identity.incarnation, boot_time, Pace(boot_time, asyncio.sleep)
+            self.platform,
+            self.identity.incarnation,
+            self.clock.now,
+            Pace(self.clock.now, asyncio.sleep),
+            self.clock.unix,
         )
-        self.router = RequestRouter(self.claims, self.routes)
+        self.router = RequestRouter(self.claims, self.routes, self.clock)
         own = EntryVm(
             settings.name,
             settings.host,
@@ -181,7 +189,7 @@
             await asyncio.sleep(interval_s * self._rng.uniform(1 - jitter, 1 + jitter))
 
     async def _tick(self) -> None:
-        now = boot_time()
+        now = self.clock.now()
         self.mail.post_all(self.membership.tick(now))
         view = self.membership.view
         self.slots.set_documents(
@@ -201,13 +209,13 @@
         try:
             vms = await self.platform.list_vms()
         except PlatformError:
-            self.membership.on_list_failed(boot_time())
+            self.membership.on_list_failed(self.clock.now())
             raise
-        self.membership.on_list(boot_time(), vms)
+        self.membership.on_list(self.clock.now(), vms)
         self.claims.set_live_vms(max(1, len(vms)))
 
     async def _keep_roster(self) -> None:
-        now = boot_time()
+        now = self.clock.now()
         view = self.membership.view
         if self.membership.is_leaving:
             return
@@ -217,13 +225,13 @@
             for incarnation in (self.membership.peer_part(vm, "heard") or ())
         }
         roster = await self.roster.step(now, view, frozenset(heard))
-        self.slots.set_roster(boot_time(), roster, self.roster.read_at)
+        self.slots.set_roster(self.clock.now(), roster, self.roster.read_at)
 
     async def _receive(self, link: PeerLink, item: Message) -> None:
         if isinstance(item, KINDS):
             self.documents.receive(link.identity, item)
             return
-        now = boot_time()
+        now = self.clock.now()
         self.mail.post_all(self.membership.on_message(now, link.identity, item))
         self.mail.post_all(self.slots.on_message(now, link.identity, item))
 
--- a/src/hibiscushaven/entry/owners.py
+++ b/src/hibiscushaven/entry/owners.py
@@ -11,6 +11,7 @@
 from hibiscushaven.membership import View
 from hibiscushaven.slots import Shard, SlotNode
 
+from .clock import Clock
 from .shard_runner import ShardRunner
 
 __all__ = ["ShardOwners"]
@@ -27,7 +28,9 @@
         client: BackendClient,
         view: Callable[[], View],
         rng: random.Random,
+        clock: Clock,
     ) -> None:
+        self._clock = clock
         self._domain = domain
         self._catalog = catalog
         self._slots = slots
@@ -58,7 +61,9 @@
             dispatcher = Dispatcher(
                 DispatchConfig(), self._slots, random.Random(self._rng.random())
             )
-            self._runners[shard] = ShardRunner(dispatcher, self._client, self._slots.loan_expiry)
+            self._runners[shard] = ShardRunner(
+                dispatcher, self._client, self._slots.loan_expiry, self._clock
+            )
         for shard, runner in self._runners.items():
             entry = self._catalog.get(shard.service)
             if entry is not None and self._revisions.get(shard) != entry.revision:
--- a/src/hibiscushaven/entry/router.py
+++ b/src/hibiscushaven/entry/router.py
@@ -18,7 +18,7 @@
 from hibiscushaven.claims import Outcome as ClaimOutcome
 from hibiscushaven.delivery import AttemptError, Outcome, RelayError
 
-from .clock import boot_time
+from .clock import Clock
 from .errors import RouteError
 from .problems import Problem
 from .requests import CallerAnswer, ClassifiedRequest
@@ -38,7 +38,8 @@
 class RequestRouter:
     """Sends classified requests on their way."""
 
-    def __init__(self, claims: ClaimKeeper, routes: Routes) -> None:
+    def __init__(self, claims: ClaimKeeper, routes: Routes, clock: Clock) -> None:
+        self._clock = clock
         self._claims = claims
         self._routes = routes
 
@@ -137,9 +138,8 @@
                 )
         return Error(_route_problem(last))
 
-    @staticmethod
-    def _may_reroute(item: ClassifiedRequest, error: RouteError) -> bool:
-        if not error.is_route_lost or boot_time() >= item.deadline:
+    def _may_reroute(self, item: ClassifiedRequest, error: RouteError) -> bool:
+        if not error.is_route_lost or self._clock.now() >= item.deadline:
             return False
         return error.outcome is Outcome.NOT_RUN or item.request_class.is_idempotent
 
--- a/src/hibiscushaven/entry/routes.py
+++ b/src/hibiscushaven/entry/routes.py
@@ -7,7 +7,6 @@
 
 from hibiscushaven.delivery import (
     AttemptError,
-    Headers,
     Outcome,
     RelayClient,
     RelayError,
@@ -20,7 +19,7 @@
 from hibiscushaven.ini.fields import Endpoint
 from hibiscushaven.peers import Lane, PeerLink
 
-from .clock import boot_time
+from .clock import Clock
 from .errors import RouteError
 from .neighbours import Neighbours
 from .owners import ShardOwners
@@ -48,7 +47,9 @@
         steering: Steering,
         relay: RelayClient,
         rng: random.Random,
+        clock: Clock,
     ) -> None:
+        self._clock = clock
         self._catalog = catalog
         self._neighbours = neighbours
         self._owners = owners
@@ -102,7 +103,7 @@
     async def serve(self, link: PeerLink, request: RelayRequest, responder: Responder) -> None:
         """Serve a relayed request: run it here if this VM owns a shard, else send it on."""
         loop = asyncio.get_running_loop()
-        deadline = boot_time() + responder.deadline - loop.time()
+        deadline = self._clock.now() + responder.deadline - loop.time()
         try:
             answer = await self._pass(request, deadline, is_long=link.lane is Lane.BULK)
         except RouteError as error:
@@ -137,7 +138,7 @@
         self, endpoint: Endpoint, request: RelayRequest, deadline: float, is_long: bool
     ) -> CallerAnswer:
         lane = Lane.BULK if is_long else Lane.SHORT
-        loop_deadline = asyncio.get_running_loop().time() + deadline - boot_time()
+        loop_deadline = asyncio.get_running_loop().time() + deadline - self._clock.now()
         try:
             response = await self._relay.request(endpoint, lane, request, loop_deadline)
         except RelayError as error:
@@ -175,7 +176,7 @@
             caller=request.caller,
             caller_share=shares.get(request.caller, 1.0),
             request_class=request_class,
-            deadline=min(deadline, boot_time() + request_class.deadline_ms / 1000),
+            deadline=min(deadline, self._clock.now() + request_class.deadline_ms / 1000),
             fingerprint=self._owners.fingerprint(request),
             is_foreign=attributes.get("from") != self._neighbours.domain,
             path=request.target.partition("?")[0],
--- a/src/hibiscushaven/entry/shard_runner.py
+++ b/src/hibiscushaven/entry/shard_runner.py
@@ -27,7 +27,7 @@
 )
 from hibiscushaven.documents import Server, ServiceDocument
 
-from .clock import boot_time, unix_ms
+from .clock import Clock
 
 __all__ = ["BackendAnswer", "Job", "ShardRunner", "WorkRefusedError"]
 
@@ -138,7 +138,9 @@
         dispatcher: Dispatcher,
         client: BackendClient,
         loan_expiry: Callable[[float, object], float],
+        clock: Clock,
     ) -> None:
+        self._clock = clock
         self._dispatcher = dispatcher
         self._client = client
         self._loan_expiry = loan_expiry
@@ -165,15 +167,15 @@
         """Put a document in force."""
         self._document = document
         self._servers = {server.name: server for server in servers}
-        self._carry_out(self._dispatcher.set_document(boot_time(), document, servers))
+        self._carry_out(self._dispatcher.set_document(self._clock.now(), document, servers))
 
     def report_load(self, server: str, in_progress: int, age_s: float) -> None:
         """Pass on a backend server's own report."""
-        self._carry_out(self._dispatcher.load_report(boot_time(), server, in_progress, age_s))
+        self._carry_out(self._dispatcher.load_report(self._clock.now(), server, in_progress, age_s))
 
     def set_foreign_limit(self, limit: int | None) -> None:
         """Limit the work of other failure domains."""
-        self._carry_out(self._dispatcher.set_foreign_limit(boot_time(), limit))
+        self._carry_out(self._dispatcher.set_foreign_limit(self._clock.now(), limit))
 
     def quarantined(self, now: float) -> Mapping[str, float]:
         """Return the fingerprints refused here, with the seconds that are left."""
@@ -186,7 +188,7 @@
 
     def describe(self) -> dict[str, object]:
         """Return the state for operators."""
-        snapshot = self._dispatcher.snapshot(boot_time())
+        snapshot = self._dispatcher.snapshot(self._clock.now())
         return {
             "queued": {size.value: count for size, count in snapshot.queued.items()},
             "in_progress": dict(snapshot.in_progress),
@@ -201,11 +203,11 @@
         :raises WorkRefusedError: when the shard gives it up.
         """
         self._jobs[job.work.id] = job
-        self._carry_out(self._dispatcher.submit(boot_time(), job.work))
+        self._carry_out(self._dispatcher.submit(self._clock.now(), job.work))
         try:
             return await job.answer
         except asyncio.CancelledError:
-            self._carry_out(self._dispatcher.cancel(boot_time(), job.work.id))
+            self._carry_out(self._dispatcher.cancel(self._clock.now(), job.work.id))
             raise
         finally:
             self._jobs.pop(job.work.id, None)
@@ -216,7 +218,7 @@
         for work_id, job in tuple(self._jobs.items()):
             if work_id not in started and not job.answer.done():
                 job.answer.set_exception(WorkRefusedError(Outcome.NOT_RUN, "owner-changed", 0.1))
-                self._carry_out(self._dispatcher.cancel(boot_time(), work_id))
+                self._carry_out(self._dispatcher.cancel(self._clock.now(), work_id))
 
     async def close(self) -> None:
         """Cancel what is in progress."""
@@ -243,7 +245,7 @@
         """Set the timer for the next thing that time brings."""
         if self._timer is not None:
             self._timer.cancel()
-        now = boot_time()
+        now = self._clock.now()
         due = self._dispatcher.next_due(now)
         if due == float("inf"):
             self._timer = None
@@ -253,7 +255,7 @@
         self._timer = asyncio.get_running_loop().call_later(delay, self._tick)
 
     def _tick(self) -> None:
-        self._carry_out(self._dispatcher.tick(boot_time()))
+        self._carry_out(self._dispatcher.tick(self._clock.now()))
 
     def _start(self, start: StartAttempt) -> None:
         job = self._jobs.get(start.work_id)
@@ -261,7 +263,7 @@
         if job is None or server is None:
             result = AttemptResult(ResultKind.NOT_SENT)
             self._later(
-                lambda: self._dispatcher.attempt_ended(boot_time(), start.attempt_id, result)
+                lambda: self._dispatcher.attempt_ended(self._clock.now(), start.attempt_id, result)
             )
             return
         attempt = _Attempt(start, job, server)
@@ -322,7 +324,7 @@
         is_small = length is not None and length <= BUFFERED_BYTES
         is_retryable = is_small and attempt.job.work.is_idempotent
         self._carry_out(
-            self._dispatcher.attempt_head(boot_time(), attempt.start.attempt_id, is_retryable)
+            self._dispatcher.attempt_head(self._clock.now(), attempt.start.attempt_id, is_retryable)
         )
         if is_retryable and not attempt.is_ended:
             attempt.buffered = await head.read(BUFFERED_BYTES)
@@ -346,12 +348,12 @@
             return
         attempt.is_ended = True
         self._carry_out(
-            self._dispatcher.attempt_ended(boot_time(), attempt.start.attempt_id, result)
+            self._dispatcher.attempt_ended(self._clock.now(), attempt.start.attempt_id, result)
         )
         self._attempts.pop(attempt.start.attempt_id, None)
 
     def _request(self, attempt: _Attempt) -> AttemptRequest:
-        now = boot_time()
+        now = self._clock.now()
         start, job = attempt.start, attempt.job
         loop_time = asyncio.get_running_loop().time()
         left_s = self._loan_expiry(now, start.token) - now
@@ -363,7 +365,7 @@
             deadline=loop_time + job.work.deadline - now,
             headers=job.headers,
             body=job.body,
-            start_by_unix_ms=unix_ms() + int(left_s * 1000),
+            start_by_unix_ms=int((self._clock.unix() + left_s) * 1000),
             use_new_connection=start.use_new_connection,
             guard=lambda: self._may_write(attempt),
             head_timeout_s=_head_timeout_s(job.work, now),
@@ -373,7 +375,7 @@
     def _may_write(self, attempt: _Attempt) -> bool:
         """Ask the dispatcher again, now that there is a connection."""
         own_id = attempt.start.attempt_id
-        actions = self._dispatcher.attempt_started(boot_time(), own_id)
+        actions = self._dispatcher.attempt_started(self._clock.now(), own_id)
         others = [
             item
             for item in actions
--- a/src/hibiscushaven/entry/steering.py
+++ b/src/hibiscushaven/entry/steering.py
@@ -7,7 +7,7 @@
 from hibiscushaven.membership import MembershipNode, combiner
 from hibiscushaven.shifts import ArrivalRates, Flows, ForeignAdmission, ShareRamp, plan_flows
 
-from .clock import boot_time
+from .clock import Clock
 from .neighbours import Neighbours
 from .totals import DecayingMaximum
 
@@ -48,7 +48,9 @@
         membership: MembershipNode,
         neighbours: Neighbours,
         rng: random.Random,
+        clock: Clock,
     ) -> None:
+        self._clock = clock
         self._catalog = catalog
         self._membership = membership
         self._neighbours = neighbours
@@ -59,16 +61,16 @@
         self._flows: dict[str, Flows] = {}
         self._foreign: dict[str, ForeignAdmission] = {}
         self._totals: dict[str, DecayingMaximum] = {}
-        self._started_at = boot_time()
+        self._started_at = self._clock.now()
         self._refreshed_at = float("-inf")
 
     def note_arrival(self, service: str) -> None:
         """Count a caller's request."""
-        self._rates.record(boot_time(), service)
+        self._rates.record(self._clock.now(), service)
 
     def choose(self, service: str) -> str | None:
         """Return the failure domain of the place for a request, ``None`` to refuse it."""
-        if boot_time() - self._refreshed_at >= _REFRESH_S:
+        if self._clock.now() - self._refreshed_at >= _REFRESH_S:
             self.refresh()
         flows = self._flows.get(service)
         return flows.choose(self._neighbours.domain, self._rng.random()) if flows else None
@@ -82,17 +84,17 @@
     def admit_foreign(self, service: str) -> bool:
         """Return whether this failure domain's place may take a request from another."""
         admission = self._foreign.get(service)
-        return admission is None or admission.admit(boot_time())
+        return admission is None or admission.admit(self._clock.now())
 
     def shares(self, service: str) -> Mapping[str, float]:
         """Return the shares of a service by place."""
         ramp = self._ramps.get(service)
-        return ramp.shares(boot_time()) if ramp is not None else {}
+        return ramp.shares(self._clock.now()) if ramp is not None else {}
 
     def shares_by_domain(self, service: str) -> Mapping[str, float]:
         """Return the shares of a service by the failure domain of the place."""
         ramp = self._ramps.get(service)
-        return ramp.shares_by_domain(boot_time()) if ramp is not None else {}
+        return ramp.shares_by_domain(self._clock.now()) if ramp is not None else {}
 
     def first_shares(self, service: str, region: str) -> Mapping[str, float] | None:
         """Return how callers are spread over failure domains.
@@ -107,7 +109,7 @@
 
     def refresh(self) -> None:
         """Bring ramps and flows up to date and publish this VM's numbers."""
-        now = self._refreshed_at = boot_time()
+        now = self._refreshed_at = self._clock.now()
         for entry in self._catalog.entries:
             self._refresh_service(now, entry)
         self._membership.set_part("arrivals", _rounded(self._rates.rates(now)))
