Connect the operators' interface, report revisions of all VMs

Cause: document status showed the VMs of one failure domain only, because the combiners of the digest parts were never registered.

--- a/src/hibiscushaven/commands/client.py
+++ b/src/hibiscushaven/commands/client.py
@@ -10,6 +10,9 @@
 import aiohttp
 import click
 
+from hibiscushaven.documents import Difference
+from hibiscushaven.ini import IniProblem
+
 from .output import EXIT_REFUSED, EXIT_USAGE, fail
 
 __all__ = ["Answer", "call", "entry_options", "is_json_option"]
@@ -41,11 +44,19 @@
             return f"status {self.status}"
         lines = [f"{problem.get('title', 'refused')} (status {self.status})"]
         lines += [problem["detail"]] if problem.get("detail") else []
-        lines += [f"  {item}" for item in problem.get("problems", ())]
-        lines += [f"  {item}" for item in problem.get("difference", ())]
+        lines += [f"  {_problem_line(item)}" for item in problem.get("problems", ())]
+        lines += [f"  {_difference_line(item)}" for item in problem.get("differences", ())]
         return "\n".join(lines)
 
 
+def _problem_line(item: dict[str, Any]) -> str:
+    return str(IniProblem(item["section"], item["key"], item["value"], item["allowed"]))
+
+
+def _difference_line(item: dict[str, Any]) -> str:
+    return str(Difference(item["section"], item["key"], item["before"], item["after"]))
+
+
 def entry_options(function):
     """Add the options that name an entry VM and a credential."""
     function = click.option(
--- a/src/hibiscushaven/commands/document.py
+++ b/src/hibiscushaven/commands/document.py
@@ -1,5 +1,6 @@
 """Commands that work on service documents."""
 
+from datetime import UTC, datetime
 from pathlib import Path
 
 import click
@@ -104,7 +105,10 @@
     if is_json:
         print_json(found)
         return
-    rows = ((item["revision"], item["accepted_at"], item["operator"]) for item in found["history"])
+    rows = (
+        (item["revision"], _time(item["accepted_at"]), f"{item['team']}/{item['operator']}")
+        for item in found["entries"]
+    )
     print_table(("REVISION", "ACCEPTED", "BY"), rows)
 
 
@@ -119,11 +123,21 @@
     if is_json:
         print_json(found)
         return
-    click.echo(f"revision {found['revision']}")
-    rows = ((item["vm"], item["revision"], item["after_s"]) for item in found["vms"])
+    click.echo(f"revision {found['revision']}, accepted {_time(found['accepted_at'])}")
+    if found["alarm"]:
+        click.echo(f"alarm: {found['alarm']}")
+    rows = ((item["vm"], item["revision"], _seconds(item["delay_s"])) for item in found["vms"])
     print_table(("VM", "REVISION", "SECONDS AFTER ACCEPTANCE"), rows)
 
 
+def _time(unix_s: float) -> str:
+    return datetime.fromtimestamp(unix_s, UTC).isoformat(timespec="milliseconds")
+
+
+def _seconds(value: float | None) -> str:
+    return "pending" if value is None else f"{value:.2f}"
+
+
 def _problems(path: str) -> tuple:
     try:
         source = Path(path).read_text(encoding="utf-8")
--- a/src/hibiscushaven/commands/standin.py
+++ b/src/hibiscushaven/commands/standin.py
@@ -1,14 +1,14 @@
 """Commands that run stand-ins of outside systems, and load a deployment of them."""
 
 import asyncio
+import hashlib
 import sys
 from pathlib import Path
 
 import click
-import msgpack
 
 from hibiscushaven.documents import ServiceDocument, parse_document
-from hibiscushaven.operators import token_digest
+from hibiscushaven.documents.rows import TeamRow, TeamToken
 from hibiscushaven.platform import MemoryPlatform, Write
 from hibiscushaven.settings import Deployment, load_deployment
 from hibiscushaven.standins import run_platform
@@ -107,8 +107,12 @@
     memory = MemoryPlatform()
     memory.set_vms(deployment.vm_entries)
     writes = tuple(
-        Write(f"teams/{team}", msgpack.packb({"tokens": [token_digest(token)]}))
+        Write(f"teams/{team}", _team_row(team, token).encode())
         for team, token in deployment.team_tokens.items()
     )
     asyncio.run(memory.transact(writes))
     return memory
+
+
+def _team_row(team: str, token: str) -> TeamRow:
+    return TeamRow(team, (TeamToken("demo", hashlib.sha256(token.encode()).hexdigest()),))
--- a/src/hibiscushaven/entry/__init__.py
+++ b/src/hibiscushaven/entry/__init__.py
@@ -1,5 +1,6 @@
 """The daemon of one entry VM."""
 
+from . import parts
 from .daemon import EntryDaemon, run_entry
 
-__all__ = ["EntryDaemon", "run_entry"]
+__all__ = ["EntryDaemon", "parts", "run_entry"]
--- a/src/hibiscushaven/entry/daemon.py
+++ b/src/hibiscushaven/entry/daemon.py
@@ -7,14 +7,13 @@
 from starlette.applications import Starlette
 
 from hibiscushaven.logs import configure_logs
-from hibiscushaven.operators import operator_routes
+from hibiscushaven.operators import OperatorContext, TeamDirectory, operator_routes
 from hibiscushaven.platform import HttpPlatform, Platform
 from hibiscushaven.settings import Settings
 
 from .callers import CallerInterface
 from .http_server import HttpServer
 from .node import EntryNode
-from .operator_context import NodeOperatorContext
 from .ports import NodePorts
 from .status import StatusInterface
 
@@ -99,7 +98,15 @@
             _LOG.warning("claims not settled before the stop")
 
     def _build_app(self) -> Starlette:
-        context = NodeOperatorContext(self._node)
+        node = self._node
+        context = OperatorContext(
+            publisher=node.publisher,
+            distributor=node.distributor,
+            catalog=node.catalog,
+            teams=TeamDirectory(node.platform, node.clock.now),
+            current_shares=node.steering.shares,
+            on_published=node.documents.push,
+        )
         routes = [*self._callers.routes, *operator_routes(context), *self._status.routes]
         return Starlette(routes=routes)
 
--- a/src/hibiscushaven/entry/documents.py
+++ b/src/hibiscushaven/entry/documents.py
@@ -41,10 +41,10 @@
     def is_loaded(self) -> bool:
         return self._distributor.is_loaded
 
-    def accept(self, service: str, row: bytes) -> None:
-        """Put a document in force that was published here, and push it everywhere at once."""
-        self._distributor.accept(service, row)
-        self._push(service, (*self._domain_peers(), *self._relays()))
+    def push(self, push: DocumentPush) -> None:
+        """Send a document that was published here everywhere at once."""
+        self._post(push, (*self._domain_peers(), *self._relays()))
+        self.report()
 
     async def poll(self) -> None:
         """Read the table once; without it, ask peers for what they have."""
