Add the dispatcher of a shard and a discrete-event run

Cause: the owner of a shard needs its decisions as pure logic, apart from sockets and clocks. Ruled out: one queue per backend server, because short work then waits behind one busy server while another is idle; a lane whose head may be a retry or a suspect, because it holds back the rest.

--- /dev/null
+++ b/src/hibiscushaven/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements."""
--- /dev/null
+++ b/src/hibiscushaven/bench/shards.py
@@ -0,0 +1,205 @@
+"""Services, arrivals and measures for discrete-event runs of dispatchers."""
+
+import random
+from collections import Counter
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field, replace
+
+from hdrh.histogram import HdrHistogram
+
+from hibiscushaven.dispatch import (
+    DispatchConfig,
+    Dispatcher,
+    Finish,
+    RefusalReason,
+    Refuse,
+    ResultKind,
+    StartAttempt,
+    Work,
+)
+from hibiscushaven.dispatch.work import AttemptResult
+from hibiscushaven.documents import Place, RequestClass, Server, ServiceDocument, Size, State
+from hibiscushaven.ini.fields import Endpoint
+
+from .queueing import AttemptFate, EventLoop, FakeServer, FakeShard, LocalSlots, Observer
+
+__all__ = ["LOOKUP", "MANIFEST", "ORDER", "Measures", "Stream", "build_shard", "make_document"]
+
+LOOKUP = RequestClass("lookup", "/items/*", frozenset({"GET"}), True, Size.SHORT, 1000, 5)
+ORDER = RequestClass("order", "/orders", frozenset({"POST"}), False, Size.SHORT, 5000, 5)
+MANIFEST = RequestClass("manifest", "/manifests/*", frozenset({"GET"}), True, Size.LONG, 60000, 5)
+
+_MICROSECONDS = 1_000_000
+_LONGEST_US = 600 * _MICROSECONDS
+_SUCCESS = AttemptResult(ResultKind.SUCCESS, size_bytes=1)
+
+
+def make_document(
+    servers: int,
+    slots: int,
+    classes: Sequence[RequestClass] = (LOOKUP, ORDER, MANIFEST),
+    name: str = "estoque",
+) -> ServiceDocument:
+    """Return a document of one place with equal backend servers."""
+    place = Place("serra-a", "serra", "serra-a", servers * slots, 1.0, State.ACTIVE)
+    return ServiceDocument(
+        name=name,
+        tenant="retalho-sul",
+        team="stock",
+        shift_cap=0.1,
+        shift_interval_s=10.0,
+        lookup_ttl_s=5.0,
+        retry_budget=0.1,
+        hedge_budget=0.05,
+        classes=tuple(classes),
+        places=(place,),
+        servers=tuple(
+            Server(
+                f"s{number}",
+                place.name,
+                Endpoint("10.0.0.1", 8000 + number),
+                slots,
+                800,
+                State.ACTIVE,
+            )
+            for number in range(servers)
+        ),
+        links=(),
+        callers=(),
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Stream:
+    """Poisson arrivals of one class and caller.
+
+    :ivar rate: requests a second.
+    :ivar mean_s: mean service time of an attempt.
+    :ivar sigma: spread of the service times, which are log-normal.
+    """
+
+    request_class: RequestClass
+    rate: float
+    mean_s: float
+    sigma: float = 0.5
+    tenant: str = "retalho-sul"
+    caller: str = "shop"
+    share: float = 1.0
+
+    def service_s(self, rng: random.Random) -> float:
+        return self.mean_s * rng.lognormvariate(-self.sigma * self.sigma / 2, self.sigma)
+
+
+@dataclass
+class Measures(Observer):
+    """Latencies and outcomes by class, of work submitted after a warm-up."""
+
+    warm_up_s: float = 0.0
+    submitted: Counter[str] = field(default_factory=Counter)
+    answered: Counter[str] = field(default_factory=Counter)
+    refused: Counter[RefusalReason] = field(default_factory=Counter)
+    attempts: Counter[str] = field(default_factory=Counter)
+    hedges: int = 0
+
+    def __post_init__(self) -> None:
+        self._since: dict[str, float] = {}
+        self._latencies: dict[str, HdrHistogram] = {}
+
+    def on_submit(self, now: float, work: Work) -> None:
+        if now >= self.warm_up_s:
+            self._since[work.id] = now
+            self.submitted[work.request_class.name] += 1
+
+    def on_start(self, now: float, work: Work, start: StartAttempt) -> None:
+        if work.id in self._since:
+            self.attempts[work.request_class.name] += 1
+            self.hedges += start.is_hedge
+
+    def on_refuse(self, now: float, work: Work, refuse: Refuse) -> None:
+        if self._since.pop(work.id, None) is not None:
+            self.refused[refuse.reason] += 1
+
+    def on_finish(self, now: float, work: Work, finish: Finish) -> None:
+        since = self._since.pop(work.id, None)
+        if since is None:
+            return
+        name = work.request_class.name
+        self.answered[name] += now <= work.deadline
+        histogram = self._latencies.setdefault(name, HdrHistogram(1, _LONGEST_US, 3))
+        histogram.record_value(max(1, int((now - since) * _MICROSECONDS)))
+
+    def latency_s(self, name: str, percentile: float) -> float:
+        """Return a percentile of the time from submission to the answer."""
+        histogram = self._latencies.get(name)
+        return histogram.get_value_at_percentile(percentile) / _MICROSECONDS if histogram else 0.0
+
+
+def build_shard(
+    loop: EventLoop,
+    document: ServiceDocument,
+    config: DispatchConfig,
+    streams: Sequence[Stream],
+    observer: Observer,
+    seed: int,
+    slowed: Sequence[str] = (),
+    slowdown: float = 10.0,
+) -> FakeShard:
+    """Return a shard whose arrivals and load reports are planned on the loop."""
+    rng = random.Random(seed)
+    totals = {server.name: server.slots for server in document.servers}
+    slots = LocalSlots(totals)
+    servers = [
+        FakeServer(server, slowdown if server.name in slowed else 1.0)
+        for server in document.servers
+    ]
+    by_class = {stream.request_class.name: stream for stream in streams}
+
+    def fate_of(now: float, work: Work, server: FakeServer) -> AttemptFate:
+        service_s = by_class[work.request_class.name].service_s(rng) * server.slowdown
+        return AttemptFate(service_s, _SUCCESS)
+
+    dispatcher = Dispatcher(config, slots, random.Random(seed + 1))
+    shard = FakeShard(loop, dispatcher, slots, servers, fate_of, observer)
+    shard.set_document(document, document.servers)
+    shard.report_loads()
+    for number, stream in enumerate(streams):
+        _plan_arrivals(shard, stream, document.name, number, random.Random(seed * 31 + number))
+    return shard
+
+
+def _plan_arrivals(
+    shard: FakeShard, stream: Stream, service: str, number: int, rng: random.Random
+) -> None:
+    count = 0
+
+    def arrive() -> None:
+        nonlocal count
+        count += 1
+        now = shard.loop.now
+        shard.submit(_work(stream, service, f"{number}-{count}", now))
+        shard.loop.call_at(now + rng.expovariate(stream.rate), arrive)
+
+    if stream.rate > 0:
+        shard.loop.call_at(shard.loop.now + rng.expovariate(stream.rate), arrive)
+
+
+def _work(stream: Stream, service: str, key: str, now: float) -> Work:
+    deadline = now + stream.request_class.deadline_ms / 1000
+    return Work(
+        id=key,
+        service=service,
+        tenant=stream.tenant,
+        caller=stream.caller,
+        caller_share=stream.share,
+        request_class=stream.request_class,
+        deadline=deadline,
+        fingerprint=key,
+    )
+
+
+def rates(stream: Stream, slots: int, load: float) -> Stream:
+    """Return a stream whose arrivals need a share of some slots."""
+    return replace(stream, rate=load * slots / stream.mean_s)
+
+
+Sampler = Callable[[random.Random], float]
--- /dev/null
+++ b/src/hibiscushaven/dispatch/crashes.py
@@ -0,0 +1,130 @@
+"""Fingerprints of requests that crash backend servers."""
+
+from collections import OrderedDict
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+__all__ = ["CrashLedger"]
+
+FINGERPRINT_LIMIT = 1024
+QUARANTINE_S = 600.0
+# A suspicion that nothing confirmed for this long is dropped.
+SUSPICION_S = 600.0
+
+
+@dataclass(slots=True)
+class _Entry:
+    server: str
+    crashed_at: float
+    refused_until: float | None = None
+    is_local: bool = True
+
+
+class CrashLedger:
+    """Fingerprints with one crash (suspects) and with two (quarantined); bounded.
+
+    Explanation
+    ===========
+
+    A fingerprint is quarantined once it was in progress on two different backend servers
+    when each of them crashed, at two different times: a single event that takes down two
+    servers blames nobody.
+
+    Examples
+    ========
+
+    >>> ledger = CrashLedger()
+    >>> ledger.record(1.0, "a", ["poison", "neighbour"])
+    >>> ledger.record(2.0, "b", ["poison"])
+    >>> ledger.is_quarantined(3.0, "poison"), ledger.is_quarantined(3.0, "neighbour")
+    (True, False)
+
+    """
+
+    def __init__(self) -> None:
+        self._entries: OrderedDict[str, _Entry] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def is_quarantined(self, now: float, fingerprint: str) -> bool:
+        return self.remaining_s(now, fingerprint) > 0
+
+    def is_suspect(self, now: float, fingerprint: str) -> bool:
+        """Return whether one crash stands against the fingerprint."""
+        entry = self._entries.get(fingerprint)
+        if entry is None or entry.refused_until is not None:
+            return False
+        return now < entry.crashed_at + SUSPICION_S
+
+    def remaining_s(self, now: float, fingerprint: str) -> float:
+        """Return the time for which the fingerprint is still refused, in seconds."""
+        entry = self._entries.get(fingerprint)
+        if entry is None or entry.refused_until is None:
+            return 0.0
+        return max(0.0, entry.refused_until - now)
+
+    def record(self, now: float, server: str, fingerprints: Iterable[str]) -> None:
+        """Note the crash of a backend server and what was in progress on it."""
+        for fingerprint in set(fingerprints):
+            self._record_one(now, server, fingerprint)
+        self._shrink(now)
+
+    def absolve(self, fingerprint: str) -> None:
+        """Drop the suspicion against a fingerprint that has since run to its end."""
+        entry = self._entries.get(fingerprint)
+        if entry is not None and entry.refused_until is None:
+            del self._entries[fingerprint]
+
+    def export(self, now: float) -> dict[str, float]:
+        """Return the fingerprints quarantined here and the seconds left.
+
+        Fingerprints merged from elsewhere are omitted; repeated between failure domains,
+        they would keep each other alive.
+        """
+        return {
+            fingerprint: entry.refused_until - now
+            for fingerprint, entry in self._entries.items()
+            if entry.is_local and entry.refused_until is not None and entry.refused_until > now
+        }
+
+    def merge(self, now: float, fingerprints: Mapping[str, float]) -> None:
+        """Refuse fingerprints that another failure domain exported."""
+        for fingerprint, seconds in fingerprints.items():
+            until = now + min(seconds, QUARANTINE_S)
+            entry = self._entries.get(fingerprint)
+            if entry is None or entry.refused_until is None or entry.refused_until <= now:
+                self._put(fingerprint, _Entry("", now, until, is_local=False))
+            elif not entry.is_local:
+                entry.refused_until = max(entry.refused_until, until)
+        self._shrink(now)
+
+    def _record_one(self, now: float, server: str, fingerprint: str) -> None:
+        entry = self._entries.get(fingerprint)
+        if entry is not None and entry.refused_until is not None:
+            if now >= entry.refused_until:
+                self._put(fingerprint, _Entry(server, now))
+            return
+        if entry is None or now >= entry.crashed_at + SUSPICION_S:
+            self._put(fingerprint, _Entry(server, now))
+        elif entry.server != server and entry.crashed_at != now:
+            self._put(fingerprint, _Entry(server, now, now + QUARANTINE_S))
+
+    def _put(self, fingerprint: str, entry: _Entry) -> None:
+        self._entries[fingerprint] = entry
+        self._entries.move_to_end(fingerprint)
+
+    def _shrink(self, now: float) -> None:
+        if len(self._entries) <= FINGERPRINT_LIMIT:
+            return
+        for fingerprint in [key for key in self._entries if self._is_stale(now, key)]:
+            del self._entries[fingerprint]
+        # Suspects go first: losing a quarantine lets the request crash two more servers.
+        suspects = [key for key, entry in self._entries.items() if entry.refused_until is None]
+        for fingerprint in suspects[: max(0, len(self._entries) - FINGERPRINT_LIMIT)]:
+            del self._entries[fingerprint]
+        while len(self._entries) > FINGERPRINT_LIMIT:
+            self._entries.popitem(last=False)
+
+    def _is_stale(self, now: float, fingerprint: str) -> bool:
+        return not (self.is_suspect(now, fingerprint) or self.is_quarantined(now, fingerprint))
--- /dev/null
+++ b/src/hibiscushaven/dispatch/starter.py
@@ -0,0 +1,90 @@
+"""Starts of attempts: first ones, retries and hedges."""
+
+from .actions import Action
+from .admission import Admission
+from .attempts import AttemptBook
+from .hedging import HedgePlanner
+from .items import Item
+from .placement import Placement
+from .servers import ServerBook, ServerState
+from .statistics import StatisticsBook
+
+__all__ = ["Starter"]
+
+
+class Starter:
+    """Starts an attempt where there is room for it.
+
+    :param actions: list to which the starts are appended.
+    """
+
+    def __init__(
+        self,
+        servers: ServerBook,
+        attempts: AttemptBook,
+        admission: Admission,
+        placement: Placement,
+        hedges: HedgePlanner,
+        statistics: StatisticsBook,
+        actions: list[Action],
+    ) -> None:
+        self._servers = servers
+        self._attempts = attempts
+        self._admission = admission
+        self._placement = placement
+        self._hedges = hedges
+        self._statistics = statistics
+        self._actions = actions
+
+    def start(self, now: float, item: Item, wait_s: float) -> bool:
+        """Start an item if a backend server is free for it; return whether it started.
+
+        :param wait_s: predicted wait for a backend server that is not set aside.
+        """
+        if not self._has_room(now, item):
+            return False
+        tolerated_factor = 1 + wait_s / self._statistics.of_item(item).typical_s
+        is_suspect = self._admission.is_suspect(now, item)
+        state = self._placement.pick(now, item, is_suspect, tolerated_factor)
+        return state is not None and self._start_on(now, item, state, is_suspect=is_suspect)
+
+    def hedge(self, now: float) -> None:
+        """Start the hedges that are due, within their budget."""
+        for attempt, statistics in self._hedges.due(now):
+            if not self._start_hedge(now, attempt.item):
+                self._hedges.defer(now, attempt, statistics)
+
+    def _start_hedge(self, now: float, item: Item) -> bool:
+        is_suspect = self._admission.is_suspect(now, item)
+        if is_suspect or self._hedges.is_exhausted or not self._has_room(now, item):
+            return False
+        state = self._placement.pick_hedge(now, item)
+        if state is None or not self._start_on(now, item, state, is_hedge=True):
+            return False
+        self._hedges.spend()
+        return True
+
+    def _has_room(self, now: float, item: Item) -> bool:
+        if self._servers.in_progress >= self._admission.place_capacity:
+            return False
+        if not item.is_long or not self._admission.queues.is_limiting_long:
+            return True
+        capacity = self._admission.capacity(now)
+        return capacity.long_in_progress < capacity.long_limit
+
+    def _start_on(
+        self,
+        now: float,
+        item: Item,
+        state: ServerState,
+        is_hedge: bool = False,
+        is_suspect: bool = False,
+    ) -> bool:
+        token = self._attempts.take_token(now, item, state)
+        if token is None:
+            return False
+        attempt, action = self._attempts.start(now, item, state, token, is_hedge, is_suspect)
+        self._actions.append(action)
+        if not is_hedge:
+            self._hedges.watch(now, attempt, self._statistics.of_item(item))
+        return True
