--- a/src/hibiscushaven/delivery/attempts.py
+++ b/src/hibiscushaven/delivery/attempts.py
@@ -1,7 +1,7 @@
 """One attempt on a backend server: its request, and the response as it arrives."""
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncGenerator, Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Self
 
@@ -50,7 +50,7 @@
     """Status and headers of a response, and its body as it arrives.
 
     The body is read once, by iteration. A head whose body is not read to its end must be
-    closed, which closes its connection.
+    closed, which closes its connection; until then it counts against the server's connections.
 
     :ivar bytes_received: bytes of the body received so far.
     """
@@ -95,7 +95,7 @@
         """
         await self._finish(stop)
 
-    async def __aiter__(self) -> AsyncIterator[bytes]:
+    async def __aiter__(self) -> AsyncGenerator[bytes, None]:
         """Yield the body; return only if it was complete.
 
         :raises AttemptError: when it was truncated, silent or past the deadline.
--- a/src/hibiscushaven/delivery/bodies.py
+++ b/src/hibiscushaven/delivery/bodies.py
@@ -1,8 +1,9 @@
 """Complete bodies over several attempts: a truncated body is resumed or reported, never passed."""
 
 import re
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncGenerator, Awaitable, Callable
 from dataclasses import dataclass
+from typing import Self
 
 from .attempts import AttemptHead
 from .headers import Headers, find_header
@@ -71,10 +72,16 @@
         is_known = self.status == 200 or (self.status == 206 and self._extent is not None)
         return self._resume is not None and is_known and _strong_tag(self.headers) is not None
 
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        await self.close()
+
     async def close(self) -> None:
         await self._head.close()
 
-    async def __aiter__(self) -> AsyncIterator[bytes]:
+    async def __aiter__(self) -> AsyncGenerator[bytes, None]:
         """Yield the body; return only if it was complete.
 
         :raises AttemptError: when it was not and could not be resumed.
--- a/src/hibiscushaven/delivery/client.py
+++ b/src/hibiscushaven/delivery/client.py
@@ -17,7 +17,7 @@
 from .attempts import AttemptHead, AttemptRequest
 from .headers import end_to_end, find_header
 from .outcome import AttemptError, Outcome, Stop
-from .pools import GuardRefusedError, Pool, Transmission
+from .pools import NotSentError, Pool, Transmission
 
 __all__ = ["BackendClient", "ClientTimeouts"]
 
@@ -92,7 +92,7 @@
         :raises AttemptError: when there is no response that belongs to the attempt.
         """
         _check_request(request)
-        transmission = Transmission(request.guard)
+        transmission = Transmission(request.guard, request.deadline)
         pool = self._pool(request.tenant, request.server)
         session = await _enter(pool, request)
         response = await self._send(pool, session, request, transmission)
@@ -121,11 +121,12 @@
     ) -> tuple[int, bytes] | None:
         """Call a ``/-/`` endpoint; return status and body, or ``None`` without a response."""
         pool = self._pool(tenant, server)
-        transmission = Transmission(lambda: True)
+        deadline = asyncio.get_running_loop().time() + self._timeouts.control
+        transmission = Transmission(lambda: True, deadline)
         try:
-            async with asyncio.timeout(self._timeouts.control):
+            async with asyncio.timeout_at(deadline):
                 return await _exchange_control(pool, server, method, path, transmission)
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+        except (TimeoutError, aiohttp.ClientError, OSError, NotSentError) as error:
             if transmission.is_sent and isinstance(error, TimeoutError):
                 self._empty(pool)
             _LOG.debug("no answer", extra={"server": str(server), "why": repr(error)})
@@ -279,7 +280,9 @@
     """Return where an attempt stopped, or ``None`` for an error that is not its own."""
     if not isinstance(error, Exception):
         return None
-    if transmission.is_refused or isinstance(error, GuardRefusedError):
+    if transmission.is_late:
+        return Stop.DEADLINE_BEFORE_SENDING
+    if transmission.is_refused:
         return Stop.GUARD_REFUSED
     if not transmission.is_sent:
         return _stop_before_sending(error)
@@ -313,6 +316,11 @@
             trace_request_ctx=transmission,
             middlewares=(partial(_attach, transmission),),
         ) as response:
-            return response.status, await response.content.read(_MAX_CONTROL_BYTES)
+            body = b""
+            async for chunk in response.content.iter_any():
+                body += chunk
+                if len(body) > _MAX_CONTROL_BYTES:
+                    raise aiohttp.ClientPayloadError(f"more than {_MAX_CONTROL_BYTES} bytes")
+            return response.status, body
     finally:
         await pool.leave()
--- a/src/hibiscushaven/delivery/pools.py
+++ b/src/hibiscushaven/delivery/pools.py
@@ -7,30 +7,37 @@
 import aiohttp
 from aiohttp.client_reqrep import ClientRequest
 
-__all__ = ["GuardRefusedError", "Pool", "Transmission"]
+__all__ = ["NotSentError", "Pool", "Transmission"]
 
 _READ_BUFFER_BYTES = 64 * 1024
 
 
-class GuardRefusedError(Exception):
-    """The guard of an attempt turned false before anything was written."""
+class NotSentError(Exception):
+    """The guard or the deadline stopped a request before anything was written."""
 
 
 @dataclass(slots=True)
 class Transmission:
     """How far one request got on its connection.
 
+    :ivar deadline: time on the event loop's clock after which nothing is written.
+    :ivar is_late: the deadline passed before anything was written.
     :ivar is_sent: a byte of the request may have been written.
     :ivar is_reused: the connection had served an earlier request.
     """
 
     guard: Callable[[], bool]
+    deadline: float
+    is_late: bool = False
     is_sent: bool = False
     is_reused: bool = False
     is_refused: bool = False
 
     def begin(self) -> bool:
         """Ask the guard; return whether the request may be written."""
+        if asyncio.get_running_loop().time() >= self.deadline:
+            self.is_late = True
+            return False
         if not self.guard():
             self.is_refused = True
             return False
@@ -50,7 +57,7 @@
 
     async def send(self, conn):  # type: ignore[no-untyped-def]
         if not self._body and not self.transmission.begin():
-            raise GuardRefusedError
+            raise NotSentError
         return await super().send(conn)
 
     async def write_bytes(self, writer, conn, content_length=None):  # type: ignore[no-untyped-def]
--- a/src/hibiscushaven/delivery/relay.py
+++ b/src/hibiscushaven/delivery/relay.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 from collections import deque
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from dataclasses import replace
 from typing import Self
 
@@ -109,18 +109,18 @@
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
-        self.close()
+        await self.close()
 
     @property
     def buffered_bytes(self) -> int:
         """Bytes of the body that have arrived and were not read."""
         return self._exchange.buffered
 
-    def close(self) -> None:
+    async def close(self) -> None:
         """Cancel the request at the peer unless the response is complete."""
         self._client._forget(self._exchange)
 
-    async def __aiter__(self) -> AsyncIterator[bytes]:
+    async def __aiter__(self) -> AsyncGenerator[bytes, None]:
         """Yield the body; return only if it was complete.
 
         :raises RelayError: when it was not.
--- a/src/hibiscushaven/delivery/relay_server.py
+++ b/src/hibiscushaven/delivery/relay_server.py
@@ -59,13 +59,13 @@
 
         :raises PeerClosedError: when the connection ended.
         """
-        view = memoryview(data)
-        while view:
-            size = min(len(view), CHUNK_BYTES, await self._wait_for_credit())
+        start = 0
+        while start < len(data):
+            size = min(len(data) - start, CHUNK_BYTES, await self._wait_for_credit())
             self._credit -= size
             self._sent += size
-            await self.link.stream.send(RelayChunk(self.number, bytes(view[:size])))
-            view = view[size:]
+            await self.link.stream.send(RelayChunk(self.number, data[start : start + size]))
+            start += size
 
     async def end(self) -> None:
         """Say that the body is complete.
--- a/src/hibiscushaven/standins/backend.py
+++ b/src/hibiscushaven/standins/backend.py
@@ -68,7 +68,7 @@
             await self._changed.wait()
 
     def release(self) -> None:
-        """Let the requests go on that asked to be held."""
+        """Let the requests go on that asked to be held, and those that will."""
         self._held.set()
 
     def crash(self, refuse_s: float | None = None) -> None:
@@ -79,6 +79,8 @@
         self.counters.crashes += 1
         self._stop()
         self._cold_left = self.config.cold_requests
+        if self._restart is not None:
+            self._restart.cancel()
         if refuse_s is not None:
             self._restart = asyncio.create_task(self._start_again(refuse_s))
         self._notify()
