Notice silent peer connections under short deadlines

Cause: silence was counted per relayed request, and a request that ends at its deadline took its count along. Ruled out: dropping the connection at each deadline, which would replace healthy connections whenever work is slow. Change: silence is also counted per connection while it is in use, and each side sends a keep-alive on connections used since the last one, even if nothing is in progress.

--- a/src/hibiscushaven/delivery/relay.py
+++ b/src/hibiscushaven/delivery/relay.py
@@ -218,11 +218,12 @@
         exchange.timer = loop.call_at(
             deadline, self._forget, exchange, "no response by the deadline"
         )
-        self._keep_alive.ensure_running()
+        self._keep_alive.use(link)
         return exchange
 
     async def _receive(self, link: PeerLink, item: Message) -> None:
         """Note what arrived; it never waits, since it serves all bodies of a connection."""
+        self._keep_alive.hear(link)
         if isinstance(item, RelayPending):
             for number in item.exchanges:
                 self._find(link, number)
@@ -293,6 +294,7 @@
         exchange.fail(RelayError(Outcome.UNKNOWN, "the connection was silent"))
 
     def _end_link(self, link: PeerLink) -> None:
+        self._keep_alive.forget(link)
         for exchange in self._exchanges.values():
             if exchange.link is link:
                 exchange.fail(RelayError(Outcome.UNKNOWN, "the connection ended"))
--- a/src/hibiscushaven/delivery/relay_server.py
+++ b/src/hibiscushaven/delivery/relay_server.py
@@ -136,6 +136,7 @@
         return [responder for responder, _ in self._tasks.values()]
 
     async def _receive(self, link: PeerLink, item: Message) -> None:
+        self._keep_alive.hear(link)
         match item:
             case RelayRequest():
                 self._start(link, item)
@@ -154,7 +155,7 @@
         key = (link, request.exchange)
         self._tasks[key] = (responder, task)
         task.add_done_callback(lambda _: self._tasks.pop(key, None))
-        self._keep_alive.ensure_running()
+        self._keep_alive.use(link)
 
     async def _serve(self, link: PeerLink, request: RelayRequest, responder: Responder) -> None:
         try:
@@ -201,6 +202,7 @@
         self._cancel(responder.link, responder.number)
 
     def _end_link(self, link: PeerLink) -> None:
+        self._keep_alive.forget(link)
         for at, number in tuple(self._tasks):
             if at is link:
                 self._cancel(link, number)
--- a/src/hibiscushaven/delivery/relay_watch.py
+++ b/src/hibiscushaven/delivery/relay_watch.py
@@ -37,6 +37,10 @@
 class KeepAlive(Generic[W]):
     """Tells the peers which exchanges are alive here, and drops silent connections.
 
+    Silence is counted per exchange, so that one which only this side knows is noticed beside
+    others, and per connection, so that it is noticed although each exchange ends at a deadline
+    shorter than the time that takes.
+
     :param watched: the exchanges in progress.
     :param make_message: makes the message that names them.
     :param on_silent: called with each exchange of a connection that was dropped.
@@ -56,38 +60,56 @@
         self._make_message = make_message
         self._on_silent = on_silent
         self._interval_s = interval_s
+        self._used: set[PeerLink] = set()
+        self._unheard: dict[PeerLink, int] = {}
         self._task: asyncio.Task[None] | None = None
 
-    def ensure_running(self) -> None:
-        """Run while there are exchanges."""
+    def use(self, link: PeerLink) -> None:
+        """Note that an exchange began on a connection."""
+        self._used.add(link)
         if self._task is None or self._task.done():
             self._task = asyncio.create_task(self._run())
 
+    def hear(self, link: PeerLink) -> None:
+        """Note that something arrived on a connection."""
+        self._unheard.pop(link, None)
+
+    def forget(self, link: PeerLink) -> None:
+        """Note that a connection ended."""
+        self._used.discard(link)
+        self._unheard.pop(link, None)
+
     def stop(self) -> None:
         if self._task is not None:
             self._task.cancel()
 
+    def tick(self) -> bool:
+        """Count one interval; return whether any connection was in use."""
+        by_link: dict[PeerLink, list[W]] = {link: [] for link in self._used}
+        self._used.clear()
+        for item in self._watched():
+            by_link.setdefault(item.link, []).append(item)
+        for link, items in by_link.items():
+            self._count(link, items)
+        return bool(by_link)
+
     async def _run(self) -> None:
-        while True:
+        await asyncio.sleep(self._interval_s)
+        while self.tick():
             await asyncio.sleep(self._interval_s)
-            items = tuple(self._watched())
-            if not items:
-                return
-            self.tick(items)
-
-    def tick(self, items: tuple[W, ...]) -> None:
-        """Send one keep-alive per connection and drop those that missed too many."""
-        by_link: dict[PeerLink, list[W]] = {}
+
+    def _count(self, link: PeerLink, items: list[W]) -> None:
+        """Send a keep-alive, or drop the connection if too many were missed."""
+        unheard = self._unheard[link] = self._unheard.get(link, 0) + 1
         for item in items:
             item.missed += 1
-            by_link.setdefault(item.link, []).append(item)
-        for link, members in by_link.items():
-            if any(item.missed >= MAX_MISSED for item in members):
-                self._hub.drop_link(link)
-                for item in members:
-                    self._on_silent(item)
-                continue
-            self._send(link, tuple(item.number for item in members))
+        if max([unheard, *(item.missed for item in items)]) < MAX_MISSED:
+            self._send(link, tuple(item.number for item in items))
+            return
+        self.forget(link)
+        self._hub.drop_link(link)
+        for item in items:
+            self._on_silent(item)
 
     def _send(self, link: PeerLink, numbers: tuple[int, ...]) -> None:
         try:
--- a/src/hibiscushaven/delivery/tests/test_relay.py
+++ b/src/hibiscushaven/delivery/tests/test_relay.py
@@ -17,6 +17,7 @@
     pass_on,
 )
 from hibiscushaven.delivery.relay_messages import WINDOW_BYTES, RelayHead
+from hibiscushaven.delivery.relay_watch import MAX_MISSED
 from hibiscushaven.ini.fields import Endpoint
 from hibiscushaven.peers import Lane, PeerHub, PeerLink
 from hibiscushaven.standins import Direction, Forwarder
@@ -85,9 +86,12 @@
         self.owner = owner
         self.forwarder = forwarder
 
-    async def ask(self, target: str, lane: Lane = Lane.SHORT, **options: int) -> RelayResponse:
+    async def ask(
+        self, target: str, lane: Lane = Lane.SHORT, hops: int = 0, deadline_s: float = 10.0
+    ) -> RelayResponse:
         endpoint = Endpoint(HOST, self.forwarder.port)
-        return await self.client.request(endpoint, lane, relay_request(target, **options), soon())
+        request = relay_request(target, hops=hops)
+        return await self.client.request(endpoint, lane, request, soon(deadline_s))
 
     async def fetch(self, target: str) -> bytes:
         return await (await self.ask(target)).read()
@@ -208,6 +212,39 @@
         assert len(it.owner.requests) == 1
 
 
+@pytest.mark.parametrize("direction", [Direction.TO_SERVER, Direction.TO_CLIENT])
+@in_loop
+async def test_silence_is_noticed_by_requests_with_short_deadlines(direction: Direction) -> None:
+    """Guards against a silent connection that no single request outlives."""
+    async with pair(_NEVER_S) as it:
+        await it.fetch("/a")
+        it.client._keep_alive.tick()
+        it.forwarder.cut(direction)
+        for _ in range(MAX_MISSED):
+            assert it.forwarder.accepted == 1
+            await it.fail(it.ask("/held", deadline_s=0.01))
+            it.client._keep_alive.tick()
+        assert await it.fetch("/a") == _BODY
+        assert it.forwarder.accepted == 2
+
+
+@in_loop
+async def test_slow_work_with_short_deadlines_keeps_the_connection() -> None:
+    """Guards against dropping a healthy connection because no request on it ends in time."""
+    async with pair(_NEVER_S) as it:
+        for count in range(1, 2 * MAX_MISSED):
+            await it.fail(it.ask("/held", deadline_s=0.01))
+            await it.owner.until(lambda count=count: it.owner.cancelled == count)
+            while it.owner.server.in_progress:
+                await asyncio.sleep(0)
+            before = it.forwarder.to_client
+            it.owner.server._keep_alive.tick()
+            await it.forwarder.until(lambda f, before=before: f.to_client > before)
+            it.client._keep_alive.tick()
+        assert await it.fetch("/a") == _BODY
+        assert it.forwarder.accepted == 1
+
+
 @in_loop
 async def test_forgotten_request_is_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against a request that only the asking side knows, beside one in progress."""
@@ -265,9 +302,8 @@
 async def test_deadline_cancels_at_the_peer() -> None:
     """Guards against work that goes on for a caller who was already answered."""
     async with pair() as it:
-        endpoint = Endpoint(HOST, it.forwarder.port)
-        request = it.client.request(endpoint, Lane.SHORT, relay_request("/held"), soon(0.05))
-        assert (await it.fail(request)).outcome is Outcome.UNKNOWN
+        error = await it.fail(it.ask("/held", deadline_s=0.05))
+        assert error.outcome is Outcome.UNKNOWN
         await it.owner.until(lambda: it.owner.cancelled == 1)
 
 
