--- a/src/hibiscushaven/delivery/tests/support.py
+++ b/src/hibiscushaven/delivery/tests/support.py
@@ -110,7 +110,7 @@
     """Take the messages that nothing subscribed to."""
 
 
-def _free_port() -> int:
+def free_port() -> int:
     with socket.socket() as probe:
         probe.bind((HOST, 0))
         return probe.getsockname()[1]
@@ -119,7 +119,7 @@
 @asynccontextmanager
 async def vms(count: int) -> AsyncIterator[list[PeerHub]]:
     hubs = [
-        PeerHub(PeerIdentity(f"vm{n}", f"i{n}", "fd", "region", HOST, _free_port()), _ignore)
+        PeerHub(PeerIdentity(f"vm{n}", f"i{n}", "fd", "region", HOST, free_port()), _ignore)
         for n in range(count)
     ]
     try:
--- a/src/hibiscushaven/delivery/tests/test_relay.py
+++ b/src/hibiscushaven/delivery/tests/test_relay.py
@@ -269,6 +269,19 @@
         assert await slow.read() == _BODY
 
 
+@in_loop
+async def test_peer_that_exceeds_the_window_is_dropped(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a peer without flow control that fills this VM's memory."""
+    monkeypatch.setattr("hibiscushaven.delivery.relay_server.WINDOW_BYTES", len(_BODY))
+    async with pair() as it:
+        response = await it.ask("/slow")
+        while not response._exchange.is_ended:
+            await asyncio.sleep(0)
+        assert response.buffered_bytes <= WINDOW_BYTES
+        with pytest.raises(RelayError, match="more than it may"):
+            await response.read()
+
+
 @in_loop
 async def test_crossed_answers_reach_their_callers() -> None:
     """Guards against answers given in the order of arrival."""
