--- /dev/null
+++ b/src/hibiscushaven/client/__init__.py
@@ -0,0 +1,13 @@
+"""A client for callers: look-ups that are kept, and requests that follow the alternates."""
+
+from .errors import CallError, NoEntryError, OutcomeUnknownError, RefusedError
+from .service_client import Reply, ServiceClient
+
+__all__ = [
+    "CallError",
+    "NoEntryError",
+    "OutcomeUnknownError",
+    "RefusedError",
+    "Reply",
+    "ServiceClient",
+]
--- /dev/null
+++ b/src/hibiscushaven/client/errors.py
@@ -0,0 +1,26 @@
+"""Why a call has no answer."""
+
+__all__ = ["CallError", "NoEntryError", "OutcomeUnknownError", "RefusedError"]
+
+
+class CallError(Exception):
+    """Base of the errors of calls."""
+
+
+class NoEntryError(CallError):
+    """No entry VM could be reached."""
+
+
+class RefusedError(CallError):
+    """The request was not run.
+
+    :ivar status: HTTP status of the last refusal.
+    """
+
+    def __init__(self, status: int, detail: str) -> None:
+        super().__init__(f"{status}: {detail}")
+        self.status = status
+
+
+class OutcomeUnknownError(CallError):
+    """The request may have run."""
--- a/src/hibiscushaven/entry/neighbours.py
+++ b/src/hibiscushaven/entry/neighbours.py
@@ -7,17 +7,24 @@
 from hibiscushaven.membership import MembershipNode, MemberState
 from hibiscushaven.platform import VmEntry, VmState
 
+from .clock import Clock
+
 __all__ = ["FRESH_DIGEST_S", "Neighbours"]
 
-# Digests come every second; a failure domain that missed three counts as unreachable.
-FRESH_DIGEST_S = 3.5
+# Digests come every second and take up to two more to reach VMs that are no relays. A place
+# that counts as unreachable by mistake gets its share back only under the shift cap.
+FRESH_DIGEST_S = 5.0
+# After a start, a failure domain that was not heard yet counts as reachable for so long.
+_FIRST_DIGEST_S = 15.0
 
 
 class Neighbours:
     """VMs of the own failure domain from the view, and of the others from list and digests."""
 
-    def __init__(self, membership: MembershipNode) -> None:
+    def __init__(self, membership: MembershipNode, clock: Clock) -> None:
         self._membership = membership
+        self._clock = clock
+        self._started_at = clock.now()
 
     @property
     def domain(self) -> str:
@@ -29,8 +36,10 @@
 
     def reachable_domains(self) -> frozenset[str]:
         """Return the failure domains that were heard lately, with the own one."""
-        digests = self._membership.domains.values()
-        fresh = (item.domain for item in digests if item.age_s < FRESH_DIGEST_S)
+        digests = self._membership.domains
+        fresh = {item.domain for item in digests.values() if item.age_s < FRESH_DIGEST_S}
+        if self._clock.now() - self._started_at < _FIRST_DIGEST_S:
+            fresh |= {item.failure_domain for item in self.entries} - digests.keys()
         return frozenset((self.domain, *fresh))
 
     def is_reachable(self, domain: str) -> bool:
--- a/src/hibiscushaven/entry/node.py
+++ b/src/hibiscushaven/entry/node.py
@@ -12,7 +12,7 @@
 from hibiscushaven.ini.fields import Endpoint
 from hibiscushaven.lookups import EntryVm
 from hibiscushaven.membership import MembershipNode, MemberState
-from hibiscushaven.metrics import MetricRegistry
+from hibiscushaven.metrics import Metrics
 from hibiscushaven.peers import Message, PeerIdentity, PeerLink
 from hibiscushaven.platform import PlatformError
 from hibiscushaven.settings import Settings
@@ -61,14 +61,14 @@
             settings.peer_port,
         )
         self._rng = ports.rng
-        self.metrics = MetricRegistry()
+        self.metrics = Metrics()
         self.recorder = RequestRecorder(self.metrics)
         self.hub = ports.make_hub(self.identity, self._receive)
         self.mail = Mail(self.hub)
         self.membership = MembershipNode(self.identity, rng=self._rng)
         self.slots = SlotNode(self.identity)
         self.roster = RosterKeeper(ports.platform, self.identity)
-        self.neighbours = Neighbours(self.membership)
+        self.neighbours = Neighbours(self.membership, self.clock)
         self._compose_documents()
         self._compose_requests()
         self._tasks: list[asyncio.Task[None]] = []
--- a/src/hibiscushaven/entry/status.py
+++ b/src/hibiscushaven/entry/status.py
@@ -4,6 +4,8 @@
 from starlette.responses import JSONResponse, PlainTextResponse, Response
 from starlette.routing import Route
 
+from hibiscushaven.metrics import to_json, to_text
+
 from .node import EntryNode
 
 __all__ = ["StatusInterface"]
@@ -67,5 +69,5 @@
 
     async def _metrics(self, request: Request) -> Response:
         if request.query_params.get("format") == "json":
-            return Response(self._node.metrics.to_json(), media_type="application/json")
-        return PlainTextResponse(self._node.metrics.to_text())
+            return Response(to_json(self._node.metrics), media_type="application/json")
+        return PlainTextResponse(to_text(self._node.metrics))
--- a/src/hibiscushaven/entry/steering.py
+++ b/src/hibiscushaven/entry/steering.py
@@ -14,8 +14,7 @@
 __all__ = ["Steering"]
 
 _REFRESH_S = 0.25
-# Digests of the other failure domains take up to two seconds after a start; until they
-# could have arrived, none of them counts as unreachable.
+# The platform's list takes a moment to arrive; until then no place counts as unreachable.
 _START_GRACE_S = 4.0
 # Requests a second below which a place's share is a few requests, which overload nothing.
 _LEAST_TOTAL_RATE = 200.0
--- /dev/null
+++ b/tests/processes/deployment.py
@@ -0,0 +1,163 @@
+"""A small deployment as separate processes, for tests."""
+
+import asyncio
+import contextlib
+import signal
+import socket
+import sys
+from pathlib import Path
+
+from hibiscushaven.client import ServiceClient
+
+LIMIT_S = 120  # ends a test that hangs; no test waits for it
+
+DOCUMENT = """
+[service]
+name = stock
+tenant = example
+team = stock-team
+lookup_ttl_s = 0.5
+[class pull]
+path = /bundles*
+methods = GET
+idempotent = yes
+size = long
+deadline_ms = 30000
+[class order]
+path = /orders
+methods = POST
+idempotent = no
+size = short
+deadline_ms = 8000
+[class read]
+path = /*
+methods = GET
+idempotent = yes
+size = short
+deadline_ms = 3000
+"""
+
+
+def free_port():
+    with socket.socket() as item:
+        item.bind(("127.0.0.1", 0))
+        return item.getsockname()[1]
+
+
+class Deployment:
+    """Two failure domains with entry VMs and backend servers of their own."""
+
+    def __init__(self, folder: Path, entry_vms: int = 2, servers: int = 2):
+        self._folder = folder
+        self._processes: dict[str, asyncio.subprocess.Process] = {}
+        net = 100 + free_port() % 100
+        self._hosts = [f"127.{net}.{domain}" for domain in (1, 2)]
+        self._entry_vms = entry_vms
+        self._servers = servers
+        self._http, self._peer, self._backend = free_port(), free_port(), free_port()
+        self._platform = free_port()
+        self.path = folder / "deployment.ini"
+        self.document = folder / "stock.ini"
+        self.path.write_text(self._deployment_text())
+        self.document.write_text(self.document_text())
+
+    @property
+    def vms(self):
+        return [f"{d}-vm{n + 1}" for d in ("north", "south") for n in range(self._entry_vms)]
+
+    @property
+    def entries(self):
+        return [self.url(vm) for vm in self.vms]
+
+    def url(self, vm):
+        domain, _, number = vm.partition("-vm")
+        return f"http://{self._hosts[domain == 'south']}.{number}:{self._http}"
+
+    def client(self):
+        return ServiceClient("stock", self.entries)
+
+    def document_text(self, **changes):
+        text = DOCUMENT
+        for index, domain in enumerate(("north", "south")):
+            text += (
+                f"[place {domain}]\nregion = {domain}\nfailure_domain = {domain}\n"
+                f"capacity = {2 * self._servers}\nstate = {changes.get(domain, 'active')}\n"
+            )
+            for number in range(self._servers):
+                text += (
+                    f"[server {domain}-{number + 1}]\nplace = {domain}\nslots = 2\n"
+                    f"address = {self._hosts[index]}.{100 + number}:{self._backend}\n"
+                )
+        return text
+
+    async def start_all(self):
+        await self.start("platform", "standin", "platform", "--deployment", self.path)
+        for domain in ("north", "south"):
+            arguments = ("--deployment", self.path, "--failure-domain", domain)
+            await self.start(f"backends-{domain}", "standin", "backend", *arguments)
+        for vm in self.vms:
+            await self.start_vm(vm)
+        code, output = await self.run("standin", "load", "--deployment", self.path)
+        assert code == 0, output
+
+    async def start_vm(self, vm):
+        await self.start(vm, "entry", "--settings", self.path, "--vm", vm)
+
+    async def start(self, name, *arguments):
+        command = (sys.executable, "-m", "hibiscushaven", *map(str, arguments))
+        self._processes[name] = await asyncio.create_subprocess_exec(*command)
+
+    async def run(self, *arguments, token="demo-stock-team"):
+        """Run a command to its end and return its exit code and output."""
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "hibiscushaven",
+            *map(str, arguments),
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+            env={"HIBISCUSHAVEN_TOKEN": token, "HIBISCUSHAVEN_ENTRY": self.entries[0]},
+        )
+        output, _ = await process.communicate()
+        return process.returncode, output.decode()
+
+    def signal(self, name, number):
+        self._processes[name].send_signal(number)
+
+    async def wait(self, name):
+        return await self._processes[name].wait()
+
+    async def stop(self):
+        for process in self._processes.values():
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+            await process.wait()
+
+    def _deployment_text(self):
+        domains = "".join(
+            f"[failure_domain {name}]\nregion = {name}\nentry_vms = {self._entry_vms}\n"
+            f"first_host = {host}.1\n"
+            for name, host in zip(("north", "south"), self._hosts, strict=True)
+        )
+        return (
+            "[deployment]\nname = test\nplatform_region = north\n"
+            f"http_port = {self._http}\npeer_port = {self._peer}\n"
+            f"[platform]\nurl = http://127.0.0.1:{self._platform}\n"
+            "[log]\nlevel = error\nformat = text\n"
+            f"{domains}[service stock]\ndocument = stock.ini\n"
+            "[team stock-team]\ntoken = demo-stock-team\n"
+        )
+
+
+def run_with(deployment, scenario):
+    """Run a scenario on a deployment of processes, and end them."""
+
+    async def run():
+        try:
+            await deployment.start_all()
+            await scenario(deployment)
+        finally:
+            await deployment.stop()
+
+    asyncio.run(asyncio.wait_for(run(), LIMIT_S))
