--- a/src/hibiscushaven/lookups/blocks.py
+++ b/src/hibiscushaven/lookups/blocks.py
@@ -1,10 +1,10 @@
 """Client address blocks and the region and failure domain of each."""
 
-import ipaddress
 from array import array
 from bisect import bisect_right
 from collections.abc import Iterable
 from dataclasses import dataclass
+from socket import AF_INET, AF_INET6, inet_pton
 
 __all__ = ["BlockError", "BlockRow", "BlockTable", "Site", "load_blocks"]
 
@@ -16,6 +16,8 @@
 # IPv6 addresses are kept by their first 64 bits; the rest is within one network.
 _KEY_BITS = {4: 32, 6: 64}
 
+_V4_MAPPED = bytes(10) + b"\xff\xff"
+
 
 class BlockError(Exception):
     """A block that cannot be loaded."""
@@ -38,6 +40,38 @@
     failure_domain: str
 
 
+def _parse_address(text: str) -> tuple[int, int]:
+    """Return the IP version and the key; ``inet_pton`` is much faster than ``ipaddress``.
+
+    :raises ValueError: when the text is no IP address.
+    """
+    try:
+        if ":" not in text:
+            return 4, int.from_bytes(inet_pton(AF_INET, text), "big")
+        data = inet_pton(AF_INET6, text)
+    except OSError as error:
+        raise ValueError(f"{text!r} is no IP address") from error
+    if data.startswith(_V4_MAPPED):
+        return 4, int.from_bytes(data[12:], "big")
+    return 6, int.from_bytes(data[:8], "big")
+
+
+def _parse_network(text: str) -> tuple[int, int, int]:
+    """Return the IP version and the first and last key of a block."""
+    address, _, length = text.partition("/")
+    try:
+        version, first = _parse_address(address)
+        bits = int(length) if length.isascii() and length.isdigit() else -1
+    except ValueError as error:
+        raise BlockError(f"block {text!r}: {error}") from error
+    if not 0 <= bits <= _KEY_BITS[version]:
+        raise BlockError(f"block {text!r}: expected a length up to /{_KEY_BITS[version]}")
+    size = 1 << (_KEY_BITS[version] - bits)
+    if first % size:
+        raise BlockError(f"block {text!r}: has bits set beyond /{bits}")
+    return version, first, first + size - 1
+
+
 class _Ranges:
     """Sorted, disjoint ranges of keys: where each begins, and the site from there on."""
 
@@ -132,11 +166,7 @@
 
         :raises ValueError: when it is not an IP address.
         """
-        parsed = ipaddress.ip_address(address)
-        if parsed.version == 6 and parsed.ipv4_mapped is not None:
-            parsed = parsed.ipv4_mapped
-        version = parsed.version
-        key = int(parsed) >> (parsed.max_prefixlen - _KEY_BITS[version])
+        version, key = _parse_address(address)
         number = self._full[version].find(key)
         if number == _NOWHERE:
             shift = _KEY_BITS[version] - _COARSE_BITS[version]
@@ -145,16 +175,7 @@
 
     def add(self, row: BlockRow, own_region: str | None) -> None:
         """Add a block; blocks of an IP version have to come in order and disjoint."""
-        try:
-            network = ipaddress.ip_network(row.network)
-        except ValueError as error:
-            raise BlockError(f"block {row.network!r}: {error}") from error
-        version = network.version
-        low_bits = network.max_prefixlen - _KEY_BITS[version]
-        if network.prefixlen > _KEY_BITS[version]:
-            raise BlockError(f"block {row.network!r}: longer than /{_KEY_BITS[version]}")
-        first = int(network.network_address) >> low_bits
-        last = int(network.broadcast_address) >> low_bits
+        version, first, last = _parse_network(row.network)
         if first < self._next[version]:
             raise BlockError(f"block {row.network!r}: not after the block before it")
         self._next[version] = last + 1
--- a/src/hibiscushaven/lookups/tests/test_blocks.py
+++ b/src/hibiscushaven/lookups/tests/test_blocks.py
@@ -1,5 +1,6 @@
 """Tests of the table of client blocks."""
 
+import re
 from ipaddress import ip_address, ip_network
 from random import Random
 
@@ -70,11 +71,19 @@
 
 
 @pytest.mark.parametrize(
-    "networks", [["10.0.0.1/24"], ["10.0.1.0/24", "10.0.0.0/24"], ["x"], ["::/65"]]
+    "networks",
+    [
+        ["10.0.0.1/24"],
+        ["10.0.1.0/24", "10.0.0.0/24"],
+        ["x"],
+        ["::/65"],
+        ["10.0.0.0"],
+        ["10.0.0.0/+8"],
+    ],
 )
 def test_bad_blocks_are_named(networks: list[str]) -> None:
     """Guards against a table that is silently wrong after a malformed or unsorted block."""
-    with pytest.raises(BlockError, match=networks[-1]):
+    with pytest.raises(BlockError, match=re.escape(networks[-1])):
         load_blocks([BlockRow(item, "a", "a1") for item in networks])
 
 
