--- a/src/hibiscushaven/shifts/ramp.py
+++ b/src/hibiscushaven/shifts/ramp.py
@@ -129,9 +129,11 @@
             return
         self._advance(now)
         interval = self._document.shift_interval_s
-        self._fleet = {name: shares.get(name, 0.0) for name in self._document.places_by_name}
-        for name, share in self._fleet.items():
-            window = self._fleet_least.setdefault(name, WindowMin(interval))
+        for name in self._document.places_by_name:
+            share = self._fleet[name] = shares.get(name, 0.0)
+            window = self._fleet_least.get(name)
+            if window is None:
+                window = self._fleet_least[name] = WindowMin(interval)
             window.window_s = interval
             window.add(now, share)
 
