Test membership; send all reports to a VM that is new

Cause: in a failure domain of 30 VMs a new VM learned the last reports only after 14 s, by rotation, and both relays' digests of each second were passed on. Ruled out: longer rotations in each heartbeat, which cost bytes all the time. Change: a VM that is new to its neighbour gets all reports at once, and one digest per failure domain and 0.8 s is passed on.

--- a/src/hibiscushaven/membership/digests.py
+++ b/src/hibiscushaven/membership/digests.py
@@ -18,6 +18,9 @@
 _SPREAD_BYTES_PER_S = 1_000.0
 _SPREAD_BURST_BYTES = 2_000.0
 
+# Both relays of a failure domain send its digest; one of the two per second is passed on.
+_SPREAD_INTERVAL_S = 0.8
+
 
 @dataclass(slots=True)
 class _Known:
@@ -36,9 +39,14 @@
     def __init__(self) -> None:
         self._known: dict[str, _Known] = {}
         self._queue: dict[str, None] = {}
+        self._queued_at: dict[str, float] = {}
         self._budget = _SPREAD_BURST_BYTES
         self._spread_at: float | None = None
 
+    @property
+    def is_spreading(self) -> bool:
+        return bool(self._queue)
+
     def receive(self, now: float, sender_vm: str, digest: Digest) -> bool:
         """Take a digest; return whether it is newer than the one known."""
         known = self._known.get(digest.domain)
@@ -54,7 +62,9 @@
             known.seqs = seqs
             return False
         self._known[digest.domain] = _Known(digest, now, seqs, {sender_vm})
-        self._queue[digest.domain] = None
+        if now - self._queued_at.get(digest.domain, float("-inf")) >= _SPREAD_INTERVAL_S:
+            self._queued_at[digest.domain] = now
+            self._queue[digest.domain] = None
         return True
 
     def latest(self, now: float) -> dict[str, DomainDigest]:
--- a/src/hibiscushaven/membership/node.py
+++ b/src/hibiscushaven/membership/node.py
@@ -172,7 +172,8 @@
         if now >= self._next_digest:
             self._next_digest = now + DIGEST_S * self._rng.uniform(1 - _JITTER, 1 + _JITTER)
             yield from self._send_digests(now)
-        yield from self._digests.spread(now, self._heard_neighbours(now))
+        if self._digests.is_spreading:
+            yield from self._digests.spread(now, self._heard_neighbours(now))
 
     def _names(self) -> frozenset[str]:
         return frozenset({self._own.vm, *self._listed, *self._links.links, *self._book.reports})
@@ -236,7 +237,16 @@
         if not is_new:
             return ()
         self._relay_parts.pop(sender.vm, None)
-        return (Outgoing(sender.endpoint, self._heartbeat(now, sender.vm, sender.endpoint, ())),)
+        answer = self._heartbeat(now, sender.vm, sender.endpoint, ())
+        return (Outgoing(sender.endpoint, answer), *self._introduction(sender.endpoint))
+
+    def _introduction(self, endpoint: Endpoint) -> Iterator[Outgoing]:
+        """Return all reports for a VM that is new here, which would else learn them slowly."""
+        if self._is_full_mesh:
+            return
+        packed = [report.packed for report in self._book.reports.values()]
+        for start in range(0, len(packed), _NEWS_PER_MESSAGE):
+            yield Outgoing(endpoint, News(tuple(packed[start : start + _NEWS_PER_MESSAGE])))
 
     def _receive_reports(self, packed: tuple[Any, ...]) -> None:
         for values in packed:
--- a/src/hibiscushaven/slots/node.py
+++ b/src/hibiscushaven/slots/node.py
@@ -325,21 +325,20 @@
 
     def _lenders(self, now: float) -> dict[str, Endpoint]:
         """Return the peers that lend to this VM, or should."""
-        members = {item.incarnation: item for item in self._roster.members}
-        chosen = {}
+        heard = {
+            item.incarnation: item.endpoint
+            for item in self._roster.members
+            if self._view.is_heard(item.vm, item.incarnation) and item.key != self._key
+        }
+        keys = frozenset(heard)
+        lenders: set[str] = set()
         for name, item in self._services.items():
-            wanted = self._wanted(name)
-            group = group_of(self._roster, Shard(name)) if wanted else ()
-            lenders = {member.incarnation for member in group}
-            heard = frozenset(
-                key for key, peer in members.items() if self._view.is_heard(peer.vm, key)
-            )
-            item.borrower.forget(now, heard)
+            item.borrower.forget(now, keys)
             lenders |= {key for key, loan in item.borrower.loans.items() if not loan.is_over}
-            for key in lenders & heard:
-                if key != self._own.incarnation:
-                    chosen[key] = members[key].endpoint
-        return chosen
+            if self._wanted(name):
+                group = group_of(self._roster, Shard(name))
+                lenders |= {member.incarnation for member in group}
+        return {key: heard[key] for key in sorted(lenders & keys)}
 
     def _wanted(self, service: str) -> bool:
         return any(shard.service == service for shard in self._owned)
@@ -381,7 +380,7 @@
         """Ask for reports that are waited for, and for confirmation while fenced."""
         wanted: dict[RosterMember, set[str]] = {}
         for name, item in self._services.items():
-            for member in item.settlement.missing:
+            for member in sorted(item.settlement.missing):
                 wanted.setdefault(member, set()).add(name)
         if self._fence.is_raised or not self._roster.has(self._key):
             for member in self._roster.members:
