Add tests of the dispatcher

Ruled out: a minimum over averaged latencies as the choice, because a backend server that was slow once was never measured again; a cap of 60 s on Retry-After, because a quarantine lasts 600 s.

--- a/src/hibiscushaven/bench/queueing.py
+++ b/src/hibiscushaven/bench/queueing.py
@@ -24,6 +24,8 @@
 REPORT_DELAY_S = 5.0
 # Time from a cancellation to its confirmation by the backend server.
 CANCEL_S = 0.002
+# Time until the driver sees the connections to a crashed backend server reset.
+CRASH_SEEN_S = 0.001
 
 
 class EventLoop:
@@ -66,12 +68,14 @@
     """A backend server that counts what runs on it.
 
     :ivar slowdown: factor on its service times.
+    :ivar down_until: time until which connections to it fail.
     """
 
     server: Server
     slowdown: float = 1.0
     running: int = 0
     most_running: int = 0
+    down_until: float = 0.0
 
     def begin(self) -> None:
         self.running += 1
@@ -144,6 +148,7 @@
     work: Work
     is_ended: bool = False
     is_sent: bool = False
+    is_occupying: bool = False
 
 
 FateOf = Callable[[float, Work, FakeServer], AttemptFate]
@@ -202,6 +207,26 @@
 
         self.loop.call_at(self.loop.now + self._reports_delay_s, deliver)
 
+    def crash(self, name: str, down_s: float) -> None:
+        """End everything on a backend server, which then refuses connections for a while."""
+        now = self.loop.now
+        server = self.servers[name]
+        server.down_until = now + down_s
+        result = AttemptResult(ResultKind.CRASHED)
+        lost = [item for item in self._running.values() if item.start.server == name]
+        for running in lost:
+            self._free(running)
+            if running.is_sent:
+                self._end_later(running, result)
+
+    def _end_later(self, running: _Running, result: AttemptResult) -> None:
+        self.loop.call_at(self.loop.now + CRASH_SEEN_S, lambda: self._end(running, result, True))
+
+    def _free(self, running: _Running) -> None:
+        if running.is_occupying:
+            running.is_occupying = False
+            self.servers[running.start.server].end()
+
     def _apply(self, actions: list[Action]) -> None:
         for action in actions:
             match action:
@@ -248,17 +273,20 @@
 
     def _send(self, running: _Running) -> None:
         now = self.loop.now
-        running.is_sent = True
         server = self.servers[running.start.server]
+        if now < server.down_until:
+            self._end(running, AttemptResult(ResultKind.NOT_SENT), False)
+            return
+        running.is_sent = True
         self._observer.on_sent(now, running.work, running.start)
         fate = self._fate_of(now, running.work, server)
         server.begin()
-        frees = fate.end_after_s if fate.frees_after_s is None else fate.frees_after_s
-        if frees != fate.end_after_s:
-            self.loop.call_at(now + frees, server.end)
+        running.is_occupying = True
+        is_freeing = fate.frees_after_s is None
+        if not is_freeing:
+            self.loop.call_at(now + fate.frees_after_s, lambda: self._free(running))
         if fate.head_after_s is not None:
             self.loop.call_at(now + fate.head_after_s, lambda: self._head(running))
-        is_freeing = frees == fate.end_after_s
         end = lambda: self._end(running, fate.result, is_freeing)  # noqa: E731
         self.loop.call_at(now + fate.end_after_s, end)
 
@@ -272,7 +300,7 @@
         running = self._running.get(action.attempt_id)
         if running is not None:
             result = AttemptResult(ResultKind.CANCELLED)
-            end = lambda: self._end(running, result, running.is_sent)  # noqa: E731
+            end = lambda: self._end(running, result, True)  # noqa: E731
             self.loop.call_at(self.loop.now + CANCEL_S, end)
 
     def _end(self, running: _Running, result: AttemptResult, is_freeing: bool) -> None:
@@ -280,7 +308,7 @@
             return
         running.is_ended = True
         if is_freeing:
-            self.servers[running.start.server].end()
+            self._free(running)
         attempt_id = running.start.attempt_id
         del self._running[attempt_id]
         self._observer.on_end(self.loop.now, running.work, running.start, result.kind)
--- a/src/hibiscushaven/bench/shards.py
+++ b/src/hibiscushaven/bench/shards.py
@@ -2,7 +2,7 @@
 
 import random
 from collections import Counter
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass, field, replace
 
 from hdrh.histogram import HdrHistogram
@@ -125,7 +125,9 @@
             return
         name = work.request_class.name
         self.answered[name] += now <= work.deadline
-        histogram = self._latencies.setdefault(name, HdrHistogram(1, _LONGEST_US, 3))
+        histogram = self._latencies.get(name)
+        if histogram is None:
+            histogram = self._latencies[name] = HdrHistogram(1, _LONGEST_US, 3)
         histogram.record_value(max(1, int((now - since) * _MICROSECONDS)))
 
     def latency_s(self, name: str, percentile: float) -> float:
@@ -200,6 +202,3 @@
 def rates(stream: Stream, slots: int, load: float) -> Stream:
     """Return a stream whose arrivals need a share of some slots."""
     return replace(stream, rate=load * slots / stream.mean_s)
-
-
-Sampler = Callable[[random.Random], float]
--- a/src/hibiscushaven/dispatch/admission.py
+++ b/src/hibiscushaven/dispatch/admission.py
@@ -95,6 +95,11 @@
         else:
             self._admit_ordinary(now, item)
 
+    def confirm(self, now: float, item: Item) -> None:
+        """Refuse a new item that could not start at once and will not be reached in time."""
+        if item.is_queued and len(self.queues.lane_of(item)) == 1:
+            self._refuse_unreachable(now, item, 0.0)
+
     def park(self, item: Item) -> None:
         self._parked[item.work.id] = item
         self._parked_fingerprints[item.work.fingerprint] += 1
@@ -139,23 +144,17 @@
 
     def _admit_ordinary(self, now: float, item: Item) -> None:
         lane = self.queues.lane_of(item)
+        if len(lane):
+            self._refuse_unreachable(now, item, lane.ahead_s(item))
+        if not item.is_final:
+            lane.push(item)
+
+    def _refuse_unreachable(self, now: float, item: Item, ahead_s: float) -> None:
         capacity = self.capacity(now)
-        ahead_s = lane.ahead_s(item)
-        is_free = not len(lane) and self._has_free(capacity, item)
-        if not is_free:
-            start_in = self.waits.start_in_s(now, capacity, item, ahead_s)
-            is_full = len(self.queues) >= self._config.queue_limit
-            if is_full or not self.waits.is_reachable(now, item, start_in, is_new=True):
-                self._refuse(item, self._reason(capacity), start_in)
-                return
-        lane.push(item)
-
-    def _has_free(self, capacity: Capacity, item: Item) -> bool:
-        if not capacity.free:
-            return False
-        if not item.is_long or not self.queues.is_limiting_long:
-            return True
-        return capacity.long_in_progress < capacity.long_limit
+        start_in = self.waits.start_in_s(now, capacity, item, ahead_s)
+        is_full = len(self.queues) >= self._config.queue_limit
+        if is_full or not self.waits.is_reachable(now, item, start_in, is_new=True):
+            self._refuse(item, self._reason(capacity), start_in)
 
     @staticmethod
     def _reason(capacity: Capacity) -> RefusalReason:
--- a/src/hibiscushaven/dispatch/choice.py
+++ b/src/hibiscushaven/dispatch/choice.py
@@ -11,6 +11,9 @@
 
 # A report older than a few seconds says nothing any more about requests of milliseconds.
 _REPORT_HALF_LIFE_S = 1.0
+# Averaged latencies of equal backend servers differ by less than this.
+_NOISE_FACTOR = 1.5
+_EXPLORED_SHARE = 0.1
 
 
 class ServerChoice(ABC):
@@ -104,12 +107,20 @@
 class LatencyAwareChoice(_LeastChoice):
     """The lowest expected latency, from own latencies and requests in progress.
 
-    A report counts only for work that this VM did not send, and less with its age.
+    A report counts only for work that this VM did not send, and less with its age. A small
+    share of the choices ignores latencies, because a server that is never chosen is never
+    measured again.
     """
 
+    def choose(self, now: float, servers: Sequence[ServerState]) -> ServerState:
+        if self._rng.random() < _EXPLORED_SHARE:
+            return self._rng.choice(servers)
+        return super().choose(now, servers)
+
     def _score(self, now: float, state: ServerState) -> float:
         load = state.in_progress + _unknown_load(now, state)
-        return state.slowness * (1 + load / state.server.slots)
+        slowness = state.slowness if state.slowness > _NOISE_FACTOR else 1.0
+        return slowness * (1 + load / state.server.slots)
 
 
 def _unknown_load(now: float, state: ServerState) -> float:
--- a/src/hibiscushaven/dispatch/dispatcher.py
+++ b/src/hibiscushaven/dispatch/dispatcher.py
@@ -178,6 +178,8 @@
         self._push_deadline(item)
         self._note_arrival(now, item)
         self._admission.admit(now, item)
+        self._dispatch(now)
+        self._admission.confirm(now, item)
         return self._settle(now)
 
     def attempt_started(self, now: float, attempt_id: str) -> list[Action]:
@@ -323,7 +325,7 @@
             self._refuse(item, RefusalReason.ATTEMPT_FAILED, item.cost_s)
         elif self._admission.is_blocked_suspect(now, item):
             return
-        elif self._starter.start(now, item, wait_s=0.0):
+        elif self._starter.start(now, item, None):
             self._admission.unpark(item)
 
     def _dispatch_head(self, now: float, lane: Lane) -> bool:
@@ -337,9 +339,7 @@
             self._admission.park(item)
             self._dispatch_parked(now, item)
             return True
-        capacity = self._admission.capacity(now)
-        wait_s = self._admission.lane_wait_s(capacity, lane, item.is_long)
-        if not self._starter.start(now, item, wait_s):
+        if not self._starter.start(now, item, lane):
             return False
         lane.take(item)
         return True
--- a/src/hibiscushaven/dispatch/placement.py
+++ b/src/hibiscushaven/dispatch/placement.py
@@ -29,8 +29,14 @@
         self._health = health
         self._limits = limits
         self._is_limiting_long = is_limiting_long
+        self._is_holding = config.is_setting_aside
         self._choice = CHOICES[config.choice](rng)
 
+    @property
+    def has_held(self) -> bool:
+        """Whether some backend server is used only where waiting would take longer."""
+        return any(self._is_held(state) for state in self._servers)
+
     def has_server(self, item: Item) -> bool:
         """Return whether any backend server is left that the item has not tried."""
         return any(not state.is_leaving and state.name not in item.tried for state in self._servers)
@@ -40,22 +46,22 @@
     ) -> ServerState | None:
         """Return a backend server for the first attempt or a retry.
 
-        :param tolerated_factor: slowness up to which a set-aside backend server still answers
+        :param tolerated_factor: slowness up to which a slow backend server still answers
             sooner than waiting for another one.
         """
         pool = self._pool(now, item, is_suspect)
         if not pool:
             return None
-        aside = [state for state in pool if state.is_set_aside]
-        if aside and self._can_probe(item, is_suspect):
-            probed = self._health.probe_due(now, aside)
+        held = [state for state in pool if self._is_held(state)]
+        if held and self._can_probe(item, is_suspect):
+            probed = self._health.probe_due(now, held)
             if probed is not None:
                 self._health.note_probe(now, probed)
                 return probed
-        ordinary = [state for state in pool if not state.is_set_aside]
+        ordinary = [state for state in pool if not self._is_held(state)]
         if not ordinary and not self._has_ordinary(item):
             tolerated_factor = math.inf
-        ordinary = ordinary or [state for state in aside if state.slowness <= tolerated_factor]
+        ordinary = ordinary or [state for state in held if state.slowness <= tolerated_factor]
         if not ordinary:
             return None
         if is_suspect:
@@ -70,6 +76,9 @@
         pool = [state for state in self._pool(now, item, False) if not state.is_slow]
         return self._choice.choose(now, pool) if pool else None
 
+    def _is_held(self, state: ServerState) -> bool:
+        return self._is_holding and state.is_slow
+
     def _pool(self, now: float, item: Item, is_suspect: bool) -> list[ServerState]:
         is_bounded = item.is_long and self._is_limiting_long
         return [
@@ -83,7 +92,7 @@
 
     def _has_ordinary(self, item: Item) -> bool:
         return any(
-            not state.is_leaving and not state.is_set_aside and state.name not in item.tried
+            not state.is_leaving and not self._is_held(state) and state.name not in item.tried
             for state in self._servers
         )
 
--- a/src/hibiscushaven/dispatch/prediction.py
+++ b/src/hibiscushaven/dispatch/prediction.py
@@ -14,7 +14,7 @@
 __all__ = ["Capacity", "WaitModel"]
 
 _RETRY_AFTER_LEAST_S = 0.1
-_RETRY_AFTER_MOST_S = 60.0
+_RETRY_AFTER_MOST_S = 600.0
 # Spreads the callers refused together over half of the drain time.
 _JITTER = 0.5
 # Room for the error of a predicted wait; work that is started and then too late is wasted.
--- a/src/hibiscushaven/dispatch/servers.py
+++ b/src/hibiscushaven/dispatch/servers.py
@@ -110,6 +110,7 @@
         self._service = ""
         self._states: dict[str, ServerState] = {}
         self._is_first = True
+        self._has_leaving = False
 
     def __iter__(self) -> Iterator[ServerState]:
         return iter(self._states.values())
@@ -138,10 +139,13 @@
         for name, server in named.items():
             self._put(now, name, server)
         self._is_first = False
+        self._has_leaving = any(state.is_leaving for state in self._states.values())
         self.purge()
 
     def purge(self) -> None:
         """Forget the backend servers that left and have nothing in progress."""
+        if not self._has_leaving:
+            return
         gone = [
             name
             for name, state in self._states.items()
--- a/src/hibiscushaven/dispatch/starter.py
+++ b/src/hibiscushaven/dispatch/starter.py
@@ -5,6 +5,7 @@
 from .attempts import AttemptBook
 from .hedging import HedgePlanner
 from .items import Item
+from .lanes import Lane
 from .placement import Placement
 from .servers import ServerBook, ServerState
 from .statistics import StatisticsBook
@@ -36,15 +37,17 @@
         self._statistics = statistics
         self._actions = actions
 
-    def start(self, now: float, item: Item, wait_s: float) -> bool:
+    def start(self, now: float, item: Item, lane: Lane | None) -> bool:
         """Start an item if a backend server is free for it; return whether it started.
 
-        :param wait_s: predicted wait for a backend server that is not set aside.
+        :param lane: the lane whose head the item is; ``None`` for a parked item.
         """
         if not self._has_room(now, item):
             return False
-        tolerated_factor = 1 + wait_s / self._statistics.of_item(item).typical_s
         is_suspect = self._admission.is_suspect(now, item)
+        tolerated_factor = 1.0
+        if lane is not None and self._placement.has_held:
+            tolerated_factor = self._tolerated_factor(now, item, lane)
         state = self._placement.pick(now, item, is_suspect, tolerated_factor)
         return state is not None and self._start_on(now, item, state, is_suspect=is_suspect)
 
@@ -64,6 +67,12 @@
         self._hedges.spend()
         return True
 
+    def _tolerated_factor(self, now: float, item: Item, lane: Lane) -> float:
+        """Return how much slower than usual still beats waiting for an ordinary slot."""
+        capacity = self._admission.capacity(now)
+        wait_s = self._admission.lane_wait_s(capacity, lane, item.is_long)
+        return 1 + wait_s / self._statistics.of_item(item).typical_s
+
     def _has_room(self, now: float, item: Item) -> bool:
         if self._servers.in_progress >= self._admission.place_capacity:
             return False
--- /dev/null
+++ b/src/hibiscushaven/dispatch/tests/test_attempts.py
@@ -0,0 +1,152 @@
+"""Attempts: retries, tokens, outcomes and cancellations."""
+
+import pytest
+
+from hibiscushaven.bench.shards import LOOKUP, ORDER
+from hibiscushaven.dispatch import (
+    CancelReason,
+    DuplicateWorkError,
+    Outcome,
+    RefusalReason,
+    ResultKind,
+    StartAttempt,
+)
+
+from .driver import Driver, cancels, finishes, refusals, starts
+
+
+@pytest.mark.parametrize("kind", [ResultKind.FAILED, ResultKind.WRONG_ID, ResultKind.TRUNCATED])
+def test_idempotent_work_is_retried_elsewhere(kind):
+    """Guards against a retry on the same server or on a connection that may be silent."""
+    driver = Driver()
+    first = driver.submit()
+    driver.send(first)
+    retry = starts(driver.end(first, kind))[0]
+    assert retry.server != first.server and retry.use_new_connection and not retry.is_hedge
+
+
+@pytest.mark.parametrize("kind", [ResultKind.FAILED, ResultKind.TIMED_OUT, ResultKind.CRASHED])
+def test_non_idempotent_work_is_not_resent(kind):
+    """Guards against an order that runs twice."""
+    driver = Driver()
+    first = driver.submit(ORDER)
+    driver.send(first)
+    actions = driver.end(first, kind)
+    assert not starts(actions) and refusals(actions)[0].outcome is Outcome.UNKNOWN
+
+
+def test_refused_non_idempotent_work_is_retried():
+    """Guards against failing an order that the backend server did not run."""
+    driver = Driver(servers=2)
+    first = driver.submit(ORDER)
+    driver.send(first)
+    second = starts(driver.end(first, ResultKind.REFUSED))[0]
+    driver.send(second)
+    actions = driver.end(second, ResultKind.REFUSED)
+    assert refusals(actions)[0].outcome is Outcome.NOT_RUN
+
+
+def test_retries_stay_within_the_budget_of_the_tenant():
+    """Guards against a retry storm that doubles the load of a failing service."""
+    driver = Driver(4, 4)
+    count = 0
+    for _ in range(100):
+        start = driver.submit(tenant="failing")
+        while isinstance(start, StartAttempt):
+            driver.send(start)
+            again = starts(driver.end(start, ResultKind.TRUNCATED, after_s=0.05))
+            count += len(again)
+            start = again[0] if again else None
+    assert 5 <= count <= 13
+    reasons = {action.reason for action in refusals(driver.actions)}
+    assert RefusalReason.RETRY_BUDGET in reasons
+
+
+def test_streaming_answer_is_not_retried_unless_resumable():
+    """Guards against a second answer appended to the half of a first one."""
+    driver = Driver()
+    plain, resumable = driver.submit(), driver.submit()
+    for start, is_resumable in ((plain, False), (resumable, True)):
+        driver.send(start)
+        driver.call("attempt_head", start.attempt_id, is_resumable=is_resumable)
+    assert [action.work_id for action in finishes(driver.actions)] == [plain.work_id]
+    assert not starts(driver.end(plain, ResultKind.TRUNCATED))
+    assert len(starts(driver.end(resumable, ResultKind.TRUNCATED))) == 1
+
+
+def test_lost_token_stops_the_attempt_before_it_is_written():
+    """Guards against requests beyond the slots after a pause in which the loan expired."""
+    driver = Driver()
+    first = driver.submit(ORDER)
+    first.token.is_lost = True
+    assert cancels(driver.send(first)) == [first.attempt_id]
+    retry = starts(driver.end(first, ResultKind.CANCELLED))[0]
+    driver.run(retry, 0.02)
+    assert len(finishes(driver.actions)) == 1 and not any(driver.slots.taken.values())
+
+
+def test_slot_stays_taken_while_the_server_may_still_run():
+    """Guards against a slot used twice after a time-out that stopped nothing."""
+    driver = Driver(1, 1)
+    first = driver.submit(ORDER, deadline_s=2.0)
+    driver.send(first)
+    driver.end(first, ResultKind.TIMED_OUT, after_s=0.5)
+    assert driver.slots.taken[first.server] == 1
+    driver.pass_time(1.6)
+    assert driver.slots.taken[first.server] == 0
+    second = driver.submit(ORDER)
+    driver.end(second, ResultKind.TIMED_OUT, is_confirmed_stopped=True)
+    assert driver.slots.taken[second.server] == 0
+
+
+def test_late_and_repeated_results_change_nothing():
+    """Guards against a token given back twice, or an answer delivered to a dead request."""
+    driver = Driver()
+    first = driver.submit()
+    driver.run(first, 0.02)
+    assert driver.end(first) == [] and driver.end(first, ResultKind.CRASHED) == []
+
+
+def test_cancelled_work_is_unknown_only_once_written():
+    """Guards against an order reported as not run while its request is on the wire."""
+    driver = Driver()
+    unwritten, written = driver.submit(ORDER), driver.submit(ORDER)
+    driver.send(written)
+    outcomes = []
+    for start in (unwritten, written):
+        actions = driver.call("cancel", start.work_id)
+        assert cancels(actions) == [start.attempt_id]
+        outcomes.append(refusals(actions)[0].outcome)
+    assert outcomes == [Outcome.NOT_RUN, Outcome.UNKNOWN]
+    stopped = driver.send(unwritten)
+    assert stopped[0].reason is CancelReason.CALLER_GONE
+
+
+def test_deadline_ends_work_in_progress():
+    """Guards against callers that wait for an attempt that never ends."""
+    driver = Driver()
+    start = driver.submit(deadline_s=0.2)
+    driver.send(start)
+    actions = driver.pass_time(0.3)
+    assert cancels(actions) == [start.attempt_id]
+    assert refusals(actions)[0].outcome is Outcome.UNKNOWN
+
+
+def test_leaving_server_gets_no_new_work():
+    """Guards against new work on a leaving server, and against cutting off its old work."""
+    driver = Driver(2, 2)
+    first = driver.submit()
+    kept = tuple(item for item in driver.document.servers if item.name != first.server)
+    actions = driver.call("set_document", driver.document, kept)
+    assert not cancels(actions)
+    assert {driver.submit().server for _ in range(2)} == {kept[0].name}
+    assert finishes(driver.run(first, 0.02))
+
+
+def test_work_id_is_taken_once():
+    """Guards against one id with two final actions."""
+    driver = Driver()
+    work = driver.work(LOOKUP)
+    driver.submit_work(work)
+    with pytest.raises(DuplicateWorkError):
+        driver.submit_work(work)
--- /dev/null
+++ b/src/hibiscushaven/dispatch/tests/test_crashes.py
@@ -0,0 +1,97 @@
+"""Quarantine of requests that crash backend servers."""
+
+from hibiscushaven.bench.shards import ORDER
+from hibiscushaven.dispatch import CrashLedger, Outcome, RefusalReason, ResultKind
+from hibiscushaven.dispatch.crashes import FINGERPRINT_LIMIT
+
+from .driver import Driver, refusals, starts
+
+
+def _crash(driver, *lost):
+    """Report a crash for all attempts that were on the server."""
+    actions = []
+    for start in lost:
+        actions += driver.end(start, ResultKind.CRASHED, after_s=0.001)
+    return actions
+
+
+def test_second_crash_on_another_server_quarantines():
+    """Guards against a request that takes down one backend server after the other."""
+    driver = Driver(4, 2)
+    first = driver.submit(fingerprint="poison")
+    driver.send(first)
+    second = starts(_crash(driver, first))[0]
+    driver.send(second)
+    ended = refusals(_crash(driver, second))[0]
+    assert (ended.reason, ended.outcome) == (RefusalReason.QUARANTINED, Outcome.UNKNOWN)
+    refused = driver.submit(fingerprint="poison")
+    assert (refused.reason, refused.outcome) == (RefusalReason.QUARANTINED, Outcome.NOT_RUN)
+    assert refused.retry_after_s > 500
+    driver.now += 601
+    assert driver.submit(fingerprint="poison").server
+
+
+def test_innocent_neighbour_is_not_quarantined():
+    """Guards against blaming what ran beside a poison request, once or on its retry."""
+    driver = Driver(4, 4)
+    prints = ("poison", "neighbour")
+    while True:
+        pair = [driver.submit(ORDER, fingerprint=name) for name in prints]
+        if pair[0].server == pair[1].server:
+            break
+        for start in pair:
+            driver.run(start, 0.02)
+    for start in pair:
+        driver.send(start)
+    _crash(driver, *pair)
+    retries = [driver.submit(fingerprint=name) for name in prints]
+    assert retries[0].server != retries[1].server
+    for start in retries:
+        driver.send(start)
+    _crash(driver, retries[0])
+    assert driver.dispatcher.crashes.is_quarantined(driver.now, "poison")
+    assert not driver.dispatcher.crashes.is_quarantined(driver.now, "neighbour")
+
+
+def test_one_copy_of_a_suspect_at_a_time():
+    """Guards against copies of a poison request that crash several servers at once."""
+    driver = Driver(4, 2)
+    first = driver.submit(ORDER, fingerprint="poison")
+    driver.send(first)
+    _crash(driver, first)
+    copies = [driver.submit(ORDER, fingerprint="poison") for _ in range(3)]
+    assert [item is not None for item in copies] == [True, False, False]
+    many = [driver.submit(ORDER, fingerprint="poison") for _ in range(5)]
+    assert many[-1].reason is RefusalReason.SUSPECT_BUSY
+    following = starts(driver.run(copies[0], 0.02))
+    assert len(following) == 4  # the answer cleared the suspicion
+
+
+def test_same_server_or_same_moment_is_one_crash():
+    """Guards against quarantine after a crash loop of one server or a rack failure."""
+    ledger = CrashLedger()
+    ledger.record(1.0, "a", ["x"])
+    ledger.record(2.0, "a", ["x"])
+    ledger.record(1.0, "a", ["y"])
+    ledger.record(1.0, "b", ["y"])
+    assert not ledger.is_quarantined(2.0, "x") and not ledger.is_quarantined(2.0, "y")
+
+
+def test_ledger_is_bounded_and_keeps_quarantines():
+    """Guards against memory growth, and against a flood that frees a quarantined request."""
+    ledger = CrashLedger()
+    ledger.record(1.0, "a", ["poison"])
+    ledger.record(2.0, "b", ["poison"])
+    for number in range(3 * FINGERPRINT_LIMIT):
+        ledger.record(3.0, "c", [f"f{number}"])
+    assert len(ledger) == FINGERPRINT_LIMIT and ledger.is_quarantined(3.0, "poison")
+
+
+def test_merged_quarantines_are_not_exported_again():
+    """Guards against failure domains that keep a quarantine alive by repeating it."""
+    here, there = CrashLedger(), CrashLedger()
+    here.record(1.0, "a", ["poison"])
+    here.record(2.0, "b", ["poison"])
+    there.merge(50.0, here.export(2.0))
+    assert there.is_quarantined(649.0, "poison") and not there.is_quarantined(651.0, "poison")
+    assert there.export(51.0) == {}
--- /dev/null
+++ b/src/hibiscushaven/dispatch/tests/test_health.py
@@ -0,0 +1,139 @@
+"""Slow, cold and dead backend servers, hedges and load reports."""
+
+from dataclasses import replace
+
+import pytest
+
+from hibiscushaven.bench.shards import LOOKUP, ORDER, make_document
+from hibiscushaven.dispatch import DispatchConfig, ResultKind, StartAttempt
+from hibiscushaven.dispatch.servers import ServerState
+from hibiscushaven.documents import Server
+
+from .driver import Driver, cancels, starts
+
+
+def _run_mixed(driver, count, slow, request_class=LOOKUP):
+    """Run requests one after another; those on slow servers take ten times as long."""
+    used = []
+    for _ in range(count):
+        start = driver.submit(request_class)
+        used.append(start.server)
+        driver.run(start, 0.2 if start.server in slow else 0.02)
+        driver.pass_time(0.02)
+    return used
+
+
+def test_slow_server_is_set_aside_and_comes_back():
+    """Guards against stragglers that keep their traffic, or that never get it back."""
+    driver = Driver(4, 2, DispatchConfig(is_hedging=False))
+    _run_mixed(driver, 300, {"s1"})
+    assert driver.dispatcher.snapshot(driver.now).set_aside == ("s1",)
+    assert _run_mixed(driver, 100, {"s1"}).count("s1") <= 3
+    for _ in range(600):
+        _run_mixed(driver, 1, ())
+    assert driver.dispatcher.snapshot(driver.now).set_aside == ()
+
+
+def test_at_most_a_third_is_set_aside():
+    """Guards against a shard that takes itself out of service."""
+    driver = Driver(6, 2, DispatchConfig(choice="round_robin", is_hedging=False))
+    _run_mixed(driver, 120, {"s0", "s1", "s2"}, ORDER)
+    assert len(driver.dispatcher.snapshot(driver.now).set_aside) <= 2
+
+
+def test_hung_server_is_found_before_anything_ends():
+    """Guards against a server that stopped answering and is judged by old latencies."""
+    driver = Driver(3, 4, DispatchConfig(is_hedging=False))
+    driver.warm_up()
+    held = [driver.submit() for _ in range(12)]
+    for start in held:
+        driver.send(start)
+    for start in held:
+        if start.server != "s2":
+            driver.end(start, after_s=0.002)
+    driver.pass_time(0.3)
+    assert driver.dispatcher.snapshot(driver.now).set_aside == ("s2",)
+
+
+def test_hedge_goes_elsewhere_and_the_loser_is_cancelled():
+    """Guards against tails of a straggler, and against both copies running on."""
+    driver = Driver()
+    driver.warm_up()
+    first = driver.submit()
+    driver.send(first)
+    hedge = starts(driver.pass_time(0.2))[0]
+    assert hedge.is_hedge and hedge.server != first.server
+    driver.send(hedge)
+    assert cancels(driver.end(hedge)) == [first.attempt_id]
+
+
+@pytest.mark.parametrize(("request_class", "hedge_budget"), [(ORDER, 0.05), (LOOKUP, 0.0)])
+def test_no_hedge_without_budget_or_for_orders(request_class, hedge_budget):
+    """Guards against orders sent twice, and against hedges beyond the budget."""
+    document = replace(make_document(3, 2), hedge_budget=hedge_budget)
+    driver = Driver(document=document)
+    driver.warm_up(request_class=request_class)
+    driver.send(driver.submit(request_class))
+    assert not starts(driver.pass_time(0.5))
+
+
+def test_new_server_ramps_up():
+    """Guards against a cold server that gets its full share at once; the first are warm."""
+    driver = Driver(1, 10)
+    old = driver.document.servers[0]
+    new = Server("new", old.place, old.address, 10, 800, old.state)
+    driver.slots.totals["new"] = 10
+    driver.call("set_document", driver.document, (old, new), place_capacity=100)
+    used = [driver.submit(ORDER) for _ in range(20)]
+    assert sum(start is not None and start.server == "new" for start in used) == 1
+    driver.pass_time(2.6)
+    assert driver.dispatcher.snapshot(driver.now).in_progress["new"] == 5
+
+
+def test_dead_server_is_left_alone_and_returns_cold():
+    """Guards against retries into a dead server and a full load on its cold cache."""
+    driver = Driver(2, 10)
+    first = driver.submit(ORDER)
+    driver.send(first)
+    driver.end(first, ResultKind.CRASHED)
+    assert first.server not in {driver.submit(ORDER).server for _ in range(8)}
+    driver.pass_time(0.3)
+    again = [driver.submit(ORDER) for _ in range(6)]
+    back = [item for item in again if item is not None and item.server == first.server]
+    assert len(back) == 1
+    driver.run(back[0], 0.02)
+    snapshot = driver.dispatcher.snapshot(driver.now)
+    assert snapshot.in_progress[first.server] <= 1
+
+
+def test_old_load_reports_weigh_little():
+    """Guards against herding on what a server said five seconds ago."""
+    fresh, stale = Driver(2, 4), Driver(2, 4)
+    for driver, age_s in ((fresh, 0.0), (stale, 20.0)):
+        driver.call("load_report", "s0", 4, age_s)
+    assert fresh.submit().server == "s1"
+    assert {stale.submit().server, stale.submit().server} == {"s0", "s1"}
+    reported = Driver(2, 4, DispatchConfig(choice="least_reported"))
+    reported.call("load_report", "s0", 4, 20.0)
+    assert {reported.submit().server for _ in range(3)} == {"s1"}
+
+
+def test_backoff_of_a_dead_server_grows():
+    """Guards against a connection attempt per request while a server is away."""
+    state = ServerState(make_document(1, 1).servers[0])
+    pauses = []
+    for _ in range(8):
+        state.note_down(0.0)
+        pauses.append(state.down_until)
+    assert pauses[0] < pauses[1] < pauses[2] and pauses[-1] <= 5.0
+
+
+def test_retry_avoids_a_refusing_server():
+    """Guards against hammering a server that sheds load."""
+    driver = Driver(2, 4)
+    first = driver.submit()
+    driver.send(first)
+    driver.end(first, ResultKind.REFUSED)
+    results = [driver.submit() for _ in range(3)]
+    assert all(isinstance(item, StartAttempt) for item in results)
+    assert first.server not in {item.server for item in results}
