--- a/src/hibiscushaven/membership/node.py
+++ b/src/hibiscushaven/membership/node.py
@@ -127,7 +127,6 @@
         }
         for vm in self._listed.keys() - listed.keys():
             self._unlisted_at.setdefault(vm, now)
-            listed[vm] = self._listed[vm]
         for item in vms:
             self._unlisted_at.pop(item.name, None)
         self._listed = listed
@@ -277,7 +276,6 @@
             heard_at = link.heard_at if link is not None else since
             if now - max(since, heard_at) >= FORGET_S:
                 del self._unlisted_at[vm]
-                self._listed.pop(vm, None)
                 self._links.drop(vm)
                 self._book.drop(vm)
         self._links.prune(now, frozenset(self._listed))
--- a/src/hibiscushaven/membership/tests/test_membership.py
+++ b/src/hibiscushaven/membership/tests/test_membership.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from hibiscushaven.membership import Heartbeat, MembershipNode, MemberState
+from hibiscushaven.membership import Heartbeat, MembershipNode, MemberState, News
 from hibiscushaven.membership.mesh import FULL_MESH_VMS, neighbours_of
 
 from .network import Net, identity_of, ups
@@ -137,6 +137,35 @@
     assert all(ups(other) == names(30) for other in net.domain(0))
 
 
+def test_new_incarnation_outbids_its_predecessors_reports() -> None:
+    """Guards against a former incarnation whose higher report number hides the new one."""
+    node = MembershipNode(identity_of(0, 0), rng=random.Random(1))
+    entries = Net((30,)).entries()
+    node.on_list(0.0, entries)
+    own = node.identity
+    stale = (own.vm, "former", own.host, own.peer_port, 50, False, ())
+    node.on_message(0.1, identity_of(0, 1), Heartbeat(1, "", False, None, (stale,)))
+    for number in range(2, 30):
+        node.on_message(0.1, identity_of(0, number), Heartbeat(1, own.incarnation, False))
+    news = [item.message for item in node.tick(0.2) if isinstance(item.message, News)]
+    assert max(report[4] for item in news for report in item.reports if report[0] == own.vm) > 50
+
+
+@pytest.mark.parametrize("count", [4, 10])
+def test_vm_gone_from_the_list_is_forgotten(count: int) -> None:
+    """Guards against a view that grows with every VM that was ever replaced."""
+    net = Net((count,))
+    net.run(3.0)
+    gone = net.node(0, 1)
+    net.stop(gone)
+    for node in net.domain(0):
+        node.on_list(net.now, net.entries())
+    net.run(50.0)
+    assert gone.identity.vm in net.node(0, 0).view.members
+    net.run(20.0)
+    assert gone.identity.vm not in net.node(0, 0).view.members
+
+
 @pytest.mark.parametrize("sizes", [(4, 4, 4), (12, 4, 30)])
 def test_digests_reach_every_vm(sizes: tuple[int, ...]) -> None:
     """Guards against parts that are lost or counted twice on the way to the digest."""
