--- a/src/hibiscushaven/dispatch/tests/test_attempts.py
+++ b/src/hibiscushaven/dispatch/tests/test_attempts.py
@@ -1,16 +1,20 @@
 """Attempts: retries, tokens, outcomes and cancellations."""
 
+from dataclasses import replace
+
 import pytest
 
 from hibiscushaven.bench.shards import LOOKUP, ORDER
 from hibiscushaven.dispatch import (
     CancelReason,
+    DispatchConfig,
     DuplicateWorkError,
     Outcome,
     RefusalReason,
     ResultKind,
     StartAttempt,
 )
+from hibiscushaven.documents import State
 
 from .driver import Driver, cancels, finishes, refusals, starts
 
@@ -134,15 +138,39 @@
 
 def test_leaving_server_gets_no_new_work():
     """Guards against new work on a leaving server, and against cutting off its old work."""
-    driver = Driver(2, 2)
+    driver = Driver(2, 3)
     first = driver.submit()
     kept = tuple(item for item in driver.document.servers if item.name != first.server)
     actions = driver.call("set_document", driver.document, kept)
     assert not cancels(actions)
-    assert {driver.submit().server for _ in range(2)} == {kept[0].name}
+    assert {driver.submit().server for _ in range(3)} == {kept[0].name}
+    assert driver.dispatcher.snapshot(driver.now).in_progress[first.server] == 1
     assert finishes(driver.run(first, 0.02))
 
 
+def test_leaving_place_gets_no_new_work():
+    """Guards against work for a place that its team is taking out of service."""
+    driver = Driver(1, 1)
+    driver.submit()
+    place = replace(driver.document.places[0], state=State.LEAVING)
+    driver.submit(id="waiting")
+    leaving = replace(driver.document, places=(place,))
+    actions = driver.call("set_document", leaving, leaving.servers)
+    assert [action.work_id for action in refusals(actions)] == ["waiting"]
+    refused = driver.submit()
+    assert (refused.reason, refused.outcome) == (RefusalReason.NO_SERVER, Outcome.NOT_RUN)
+
+
+def test_server_without_tokens_does_not_block_others():
+    """Guards against a queue that stalls on a server whose tokens were just withdrawn."""
+    driver = Driver(2, 2, DispatchConfig(choice="least_loaded"))
+    acquire = driver.slots.acquire
+    driver.slots.acquire = lambda now, service, server, deadline: (
+        None if server == "s0" else acquire(now, service, server, deadline)
+    )
+    assert [driver.submit().server for _ in range(2)] == ["s1", "s1"]
+
+
 def test_work_id_is_taken_once():
     """Guards against one id with two final actions."""
     driver = Driver()
