--- /dev/null
+++ b/src/hibiscushaven/documents/tests/test_schedules.py
@@ -0,0 +1,171 @@
+"""Seeded schedules of racing editors, bad networks, outages and restarted VMs."""
+
+import asyncio
+import random
+from collections import Counter
+from functools import cache
+
+import pytest
+
+from hibiscushaven.bench.faulty import FaultRates, FaultyTable
+from hibiscushaven.bench.virtual import run_virtual
+from hibiscushaven.documents import (
+    CatalogEntry,
+    DocumentCatalog,
+    DocumentDistributor,
+    DocumentPublisher,
+    Operator,
+    Published,
+    PublishUnavailableError,
+    PublishUnknownError,
+    RevisionConflictError,
+    TeamRow,
+)
+from hibiscushaven.documents.rows import HistoryRow
+from hibiscushaven.platform import MemoryPlatform, Write
+
+from .samples import document_text
+
+SEEDS = 200
+VMS = 4
+SERVICES = ("estoque", "pedidos")
+BAD = FaultRates(lost=0.15, vanished=0.08, late=0.08, refused=0.05, stale=0.2)
+
+
+class Vm:
+    """One start of a VM."""
+
+    def __init__(self, world: "World", name: str) -> None:
+        self.world, self.name = world, name
+        self.catalog = DocumentCatalog(self.changed)
+        table = FaultyTable(world.platform, world.rng, world.rates)
+        self.publisher = DocumentPublisher(table, world.loop.time)
+        self.distributor = DocumentDistributor(table, self.catalog, name, world.loop.time)
+        self.last: dict[str, int] = {}
+
+    def changed(self, entry: CatalogEntry) -> None:
+        service = entry.document.name
+        assert entry.revision > self.last.get(service, 0), "the revision in force went back"
+        self.last[service] = entry.revision
+        known = self.world.texts.setdefault((service, entry.revision), entry.text)
+        assert known == entry.text, "one revision has two texts"
+
+    def receive(self, push) -> None:
+        if self.distributor.on_push(push):
+            self.world.broadcast(push)
+
+
+class World:
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.loop = asyncio.get_running_loop()
+        self.platform = MemoryPlatform()
+        self.rates = BAD
+        self.texts: dict[tuple[str, int], str] = {}
+        self.accepted: list[Published] = []
+        self.refused: list[tuple[str, str]] = []
+        self.kinds: Counter[str] = Counter()
+        self.is_over = False
+        self.vms = [Vm(self, f"vm{number}") for number in range(VMS)]
+
+    def broadcast(self, push) -> None:
+        for number in range(VMS):
+            for _ in range(self.rng.choice((0, 1, 1, 2))):
+                self.loop.call_later(
+                    self.rng.uniform(0, 3), lambda number=number: self.vms[number].receive(push)
+                )
+
+    async def edit(self, number: int) -> None:
+        await asyncio.sleep(self.rng.uniform(0, 5))
+        vm = self.rng.choice(self.vms)
+        service = self.rng.choice(SERVICES)
+        entry = vm.catalog.get(service)
+        expected = None if entry is None else entry.revision
+        text = document_text(service, weight=number + 2)
+        operator = Operator("loja", f"editor-{number}")
+        result = await vm.publisher.publish(service, text, expected, operator, {"serra-a": 1})
+        self.kinds[type(result.error).__name__ if result.is_error() else "Published"] += 1
+        if result.is_ok():
+            self.accepted.append(result.ok)
+            vm.distributor.accept(service, result.ok.row)
+            self.broadcast(vm.distributor.push_message(service))
+            return
+        if isinstance(result.error, RevisionConflictError):
+            assert result.error.revision > (expected or 0)
+            assert result.error.differences, "the loser does not see the difference"
+        if not isinstance(result.error, PublishUnknownError):
+            self.refused.append((service, text))
+
+    async def poll(self, number: int) -> None:
+        while not self.is_over:
+            await asyncio.sleep(self.rng.uniform(0.5, 1))
+            await self.vms[number].distributor.poll()
+
+    async def disturb(self) -> None:
+        for _ in range(3):
+            await asyncio.sleep(self.rng.uniform(0, 3))
+            fault = self.rng.choice(("outage", "restart"))
+            self.platform.faults.is_down = fault == "outage"
+            if fault == "restart":
+                number = self.rng.randrange(VMS)
+                peer = self.rng.choice(self.vms)
+                self.vms[number] = Vm(self, f"vm{number}")
+                for part in peer.distributor.snapshot():
+                    self.vms[number].distributor.on_snapshot(part)
+        self.platform.faults.is_down = False
+
+
+async def run_schedule(seed: int) -> World:
+    world = World(seed)
+    await world.platform.transact((Write("teams/loja", TeamRow("loja", ()).encode(), 0),))
+    polls = [asyncio.ensure_future(world.poll(number)) for number in range(VMS)]
+    await asyncio.gather(world.disturb(), *(world.edit(number) for number in range(8)))
+    await asyncio.sleep(BAD.late_s)
+    world.is_over = True
+    await asyncio.gather(*polls)
+    for vm in world.vms:
+        await DocumentDistributor(world.platform, vm.catalog, vm.name, world.loop.time).poll()
+    return world
+
+
+@cache
+def outcome_of(seed: int) -> World:
+    return run_virtual(run_schedule(seed))
+
+
+@pytest.mark.parametrize("seed", range(SEEDS))
+def test_each_revision_has_one_winner(seed: int) -> None:
+    """Guards against lost edits, and edits reported as refused that are in the history."""
+    world = outcome_of(seed)
+    reader = DocumentPublisher(world.platform, lambda: 0.0)
+    for service in SERVICES:
+        entries = run_virtual(reader.history(service)).ok
+        revisions = [entry.revision for entry in entries]
+        assert revisions == list(range(len(entries), 0, -1))
+        operations = {entry.revision: entry.operation for entry in entries}
+        won = [item for item in world.accepted if item.service == service]
+        assert len({item.revision for item in won}) == len(won)
+        assert all(operations[item.revision] == item.operation for item in won)
+        rows = run_virtual(world.platform.read_prefix(f"history/{service}/"))
+        kept = {(service, HistoryRow.decode(row.value).document.text) for row in rows}
+        assert not kept & set(world.refused)
+
+
+@pytest.mark.parametrize("seed", range(SEEDS))
+def test_every_vm_ends_with_the_newest_revision(seed: int) -> None:
+    """Guards against VMs that go back or stay behind after faults end."""
+    world = outcome_of(seed)
+    heads = {
+        service: max(item.revision for item in world.accepted if item.service == service)
+        for service in {item.service for item in world.accepted}
+    }
+    for vm in world.vms:
+        assert all(vm.catalog.revisions[service] >= heads[service] for service in heads)
+        assert vm.catalog.revisions == world.vms[0].catalog.revisions
+
+
+def test_schedules_reach_every_result() -> None:
+    """Guards against schedules that exercise too little to prove anything."""
+    kinds = sum((outcome_of(seed).kinds for seed in range(SEEDS)), Counter())
+    wanted = ("Published", RevisionConflictError.__name__, PublishUnavailableError.__name__)
+    assert min(kinds[kind] for kind in wanted) >= 50
