Add the operators' HTTP interface

Cause: operators control the system only through documents, so that a PUT must show a lost race, list every problem and keep teams apart. Ruled out: reading documents from the table on GET (it fails in an outage; the documents in force are at hand), and a strong ETag on the redacted text that other teams get (it would pass as a basis for an edit). Change: routes for document, history and status, bearer tokens against cached team rows, problem+json errors. A token found in two teams is refused, and values in callers' sections are not echoed in errors, because they may be pasted tokens.

--- /dev/null
+++ b/src/hibiscushaven/operators/__init__.py
@@ -0,0 +1,13 @@
+"""HTTP interface for operators: documents, their history and status."""
+
+from .context import OperatorContext
+from .routes import operator_routes
+from .teams import TeamDirectory, TeamsUnavailableError, UnauthorizedError
+
+__all__ = [
+    "OperatorContext",
+    "TeamDirectory",
+    "TeamsUnavailableError",
+    "UnauthorizedError",
+    "operator_routes",
+]
