Leave endings half of a transaction

Cause: at 1,000 claims a second and VM, endings piled up to 8,194 (limit 8,192) and 1,845 of 20,000 claims were refused for that, with completed keys still answered as in progress. Change: waiting endings get up to half of a transaction; the expected wait counts the rows that are really left. Ruled out: larger transactions, because the platform's limit on them is not known.

--- a/src/hibiscushaven/claims/batcher.py
+++ b/src/hibiscushaven/claims/batcher.py
@@ -22,8 +22,9 @@
 
 MAX_ROWS = 128
 MAX_BYTES = 512 * 1024
-# Part of a transaction that waiting claims leave to endings, so that neither starves.
-ENDING_ROWS = MAX_ROWS // 4
+# Part of a transaction that waiting claims leave to waiting endings. Each claim has one ending;
+# with a smaller part, endings pile up under overload until no claim is accepted.
+ENDING_ROWS = MAX_ROWS // 2
 MAX_PARALLEL_READS = 16
 OUTAGE_BACKOFF_S = 1.0
 FIRST_READ_BACKOFF_S = 0.05
@@ -79,7 +80,8 @@
     def expected_wait_s(self) -> float:
         """Estimate of the seconds until a claim submitted now is answered."""
         each = max(self._pace.interval_s, self._batch_s)
-        ahead = len(self._urgent) // (MAX_ROWS - ENDING_ROWS) * each
+        room = MAX_ROWS - min(ENDING_ROWS, len(self._endings))
+        ahead = len(self._urgent) // room * each
         start = self._pace.wait_s
         if self._busy_since is not None:
             start = max(start, self._busy_since + self._batch_s - self._clock())
