Bound the memory of the fleet's shares in a ramp

Cause: with an interval of an hour, each place kept one entry for each report of a rising share. Ruled out: sampling the reports (a dip between two samples allows a rise over the cap). Change: reports within 1/64 of the interval share the entry of their least value, which counts for up to that much longer; after the last report expired, its value is the least one. Seen failing on broken variants: test_window_in_parts_is_small_and_never_too_high (an entry for each report, parts that end too early, newest value lost); test_rise_goes_on_without_further_reports (newest value lost).

--- a/src/hibiscushaven/shifts/ramp.py
+++ b/src/hibiscushaven/shifts/ramp.py
@@ -20,6 +20,9 @@
 # at once but rise under the cap, so following the noise of an estimate would lower them.
 LOAD_STEP = 0.03
 
+# An interval may last an hour, with reports several times a second.
+_FLEET_PARTS = 64
+
 
 def target_shares(document: ServiceDocument, available: frozenset[str]) -> dict[str, float]:
     """Return each place's weight over the sum of the active, available places' weights."""
@@ -133,7 +136,7 @@
             share = self._fleet[name] = shares.get(name, 0.0)
             window = self._fleet_least.get(name)
             if window is None:
-                window = self._fleet_least[name] = WindowMin(interval)
+                window = self._fleet_least[name] = WindowMin(interval, _FLEET_PARTS)
             window.window_s = interval
             window.add(now, share)
 
--- a/src/hibiscushaven/shifts/tests/test_ramp.py
+++ b/src/hibiscushaven/shifts/tests/test_ramp.py
@@ -9,6 +9,7 @@
 from hibiscushaven.bench.shift_run import DOMAINS, make_document, run_shift
 from hibiscushaven.documents import ServiceDocument, State
 from hibiscushaven.shifts import ShareRamp, limit_by_capacity
+from hibiscushaven.shifts.window import WindowMin
 
 CAP, INTERVAL_S = 0.1, 5.0
 EVEN = dict.fromkeys(DOMAINS, 1 / 6)
@@ -150,6 +151,32 @@
     assert after["c1"] > before["c1"]
 
 
+def test_rise_goes_on_without_further_reports() -> None:
+    """Guards against an isolated VM that waits for ever after its last report."""
+    ramp = started({"a1": 1.0})
+    ramp.set_fleet(0.1, {"a1": 1.0, "b1": 0.0})
+    ramp.set_fleet(0.11, {"a1": 0.7, "b1": 0.3})
+    before = ramp.shares(0.3)
+    assert before["b1"] < ramp.shares(0.3 + 1.1 * INTERVAL_S)["b1"]
+
+
+@settings(derandomize=True, deadline=None, max_examples=50)
+@given(st.lists(st.tuples(st.floats(0.0, 3.0), st.floats(0.0, 1.0)), min_size=1, max_size=80))
+def test_window_in_parts_is_small_and_never_too_high(steps: list) -> None:
+    """Guards against memory that grows with the reports, and a least value that is missed."""
+    exact, parts, now = WindowMin(10.0), WindowMin(10.0, parts=8), 0.0
+    for elapsed, value in steps:
+        now += elapsed
+        exact.add(now, value)
+        assert parts.add(now, value) <= exact.least(now)
+        assert len(parts) <= 10
+    assert parts.least(now + 11.3) == exact.least(now + 11.3) == steps[-1][1]
+    for number in range(10_000):
+        parts.add(1000 + number / 100, number)
+    assert len(parts) <= 10
+    assert parts.least(1099.99) >= 9999 - 1000 - 125
+
+
 def test_capacity_limits_shares() -> None:
     """Guards against a place that gets more than its capacity at the known load."""
     ramp = started()
