Blame only written requests for a crash; let pauses after refusals grow

Cause: a request that was only assigned to a crashed server became a suspect, and a server that drains unannounced took a retry from the budget every 0.1 s. Ruled out: treating refusals as a dead server, because a server that sheds load still answers. Change: fingerprints of requests never written are left out of a crash; the pause doubles up to 2 s until the server answers. Broken variants seen to fail: unwritten requests blamed, constant pause, pause never reset.

--- a/src/hibiscushaven/dispatch/results.py
+++ b/src/hibiscushaven/dispatch/results.py
@@ -96,7 +96,12 @@
         lost = [other for other in self._attempts if other.server is state]
         for other in lost:
             other.is_in_crash = True
-        fingerprints = [other.item.work.fingerprint for other in lost]
+        # A request that was never written to the server has no part in its crash.
+        fingerprints = [
+            other.item.work.fingerprint
+            for other in lost
+            if other is attempt or other.sent_at is not None
+        ]
         self._crashes.record(now, state.name, fingerprints)
         self._attempts.suspect(fingerprints)
         state.note_down(now)
--- a/src/hibiscushaven/dispatch/servers.py
+++ b/src/hibiscushaven/dispatch/servers.py
@@ -14,8 +14,11 @@
 _BACKOFF_LIMIT_S = 5.0
 # One failed connection may be an accident of the network; two in a row mean a dead server.
 _CONNECT_FAILURES_TO_DOWN = 2
-# A backend server that sheds load is left alone for a few typical service times.
+# A backend server that sheds load is left alone for a few typical service times. The pause
+# doubles while it goes on refusing, as a server does that drains without being marked as leaving.
 _REFUSAL_PAUSE_S = 0.1
+_REFUSAL_PAUSE_LIMIT_S = 2.0
+_REFUSAL_DOUBLINGS = 10
 # Without any token, the next come with a heartbeat (every 0.4 s) that renews a loan.
 _TOKEN_RETURN_S = 0.5
 
@@ -54,6 +57,7 @@
     down_until: float = 0.0
     backoff_s: float = _BACKOFF_FIRST_S
     connect_failures: int = 0
+    refusals: int = 0
     paused_until: float = 0.0
     report: LoadReport | None = None
 
@@ -89,8 +93,10 @@
             self.note_down(now)
 
     def note_refusal(self, now: float) -> None:
+        refusals = self.refusals
         self.note_answer(now)
-        self.pause(now, _REFUSAL_PAUSE_S)
+        self.pause(now, min(_REFUSAL_PAUSE_LIMIT_S, _REFUSAL_PAUSE_S * 2**refusals))
+        self.refusals = min(refusals + 1, _REFUSAL_DOUBLINGS)
 
     def pause(self, now: float, seconds: float) -> None:
         """Start nothing new on it for a while."""
@@ -99,6 +105,7 @@
     def note_answer(self, now: float) -> None:
         """Note that it answers; one that was down starts over with a cold cache."""
         self.connect_failures = 0
+        self.refusals = 0
         if self.is_down:
             self.is_down = False
             self.backoff_s = _BACKOFF_FIRST_S
--- a/src/hibiscushaven/dispatch/tests/test_crashes.py
+++ b/src/hibiscushaven/dispatch/tests/test_crashes.py
@@ -53,6 +53,17 @@
     assert not driver.dispatcher.crashes.is_quarantined(driver.now, "neighbour")
 
 
+def test_unwritten_request_is_not_suspected():
+    """Guards against blaming a request that had only been assigned to the crashed server."""
+    driver = Driver(1, 2)
+    written, unwritten = (driver.submit(fingerprint=name) for name in ("sent", "unsent"))
+    driver.send(written)
+    _crash(driver, written)
+    ledger = driver.dispatcher.crashes
+    assert ledger.is_suspect(driver.now, "sent") and not ledger.is_suspect(driver.now, "unsent")
+    assert unwritten.server == written.server
+
+
 def test_one_copy_of_a_suspect_at_a_time():
     """Guards against copies of a poison request that crash several servers at once."""
     driver = Driver(4, 2)
--- a/src/hibiscushaven/dispatch/tests/test_health.py
+++ b/src/hibiscushaven/dispatch/tests/test_health.py
@@ -138,6 +138,19 @@
     assert pauses[0] < pauses[1] < pauses[2] and pauses[-1] <= 5.0
 
 
+def test_pause_of_a_refusing_server_grows_until_it_answers():
+    """Guards against retry budgets spent on a server that drains unannounced."""
+    state = ServerState(make_document(1, 1).servers[0])
+    pauses = []
+    for _ in range(8):
+        state.note_refusal(0.0)
+        pauses.append(state.paused_until)
+    assert pauses[0] < pauses[1] < pauses[2] and pauses[-1] == 2.0
+    state.note_answer(0.0)
+    state.note_refusal(2.0)
+    assert state.paused_until == 2.0 + pauses[0]
+
+
 def test_retry_avoids_a_refusing_server():
     """Guards against hammering a server that sheds load."""
     driver = Driver(2, 4)
