--- a/src/hibiscushaven/bench/queueing.py
+++ b/src/hibiscushaven/bench/queueing.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from functools import partial
 from heapq import heappop, heappush
 
 from hibiscushaven.dispatch import (
@@ -220,7 +221,7 @@
                 self._end_later(running, result)
 
     def _end_later(self, running: _Running, result: AttemptResult) -> None:
-        self.loop.call_at(self.loop.now + CRASH_SEEN_S, lambda: self._end(running, result, True))
+        self.loop.call_at(self.loop.now + CRASH_SEEN_S, partial(self._end, running, result, True))
 
     def _free(self, running: _Running) -> None:
         if running.is_occupying:
@@ -287,7 +288,7 @@
             self.loop.call_at(now + fate.frees_after_s, lambda: self._free(running))
         if fate.head_after_s is not None:
             self.loop.call_at(now + fate.head_after_s, lambda: self._head(running))
-        end = lambda: self._end(running, fate.result, is_freeing)  # noqa: E731
+        end = partial(self._end, running, fate.result, is_freeing)
         self.loop.call_at(now + fate.end_after_s, end)
 
     def _head(self, running: _Running) -> None:
@@ -300,7 +301,7 @@
         running = self._running.get(action.attempt_id)
         if running is not None:
             result = AttemptResult(ResultKind.CANCELLED)
-            end = lambda: self._end(running, result, True)  # noqa: E731
+            end = partial(self._end, running, result, True)
             self.loop.call_at(self.loop.now + CANCEL_S, end)
 
     def _end(self, running: _Running, result: AttemptResult, is_freeing: bool) -> None:
