Steer by usable capacity, meter links, answer at once without slots

Ruled out: longer waits, since nothing tells when tokens come back. Change: an owner without any slot for 1 s refuses at once; places report what they can use, and their target share falls with it under the shift cap; requests to other regions reserve their part of the link.

--- a/src/hibiscushaven/dispatch/prediction.py
+++ b/src/hibiscushaven/dispatch/prediction.py
@@ -19,6 +19,10 @@
 _JITTER = 0.5
 # Room for the error of a predicted wait; work that is started and then too late is wasted.
 _CAUTION = 1.15
+# Time in which a new owner gets its slot tokens from VMs that are up.
+HANDOVER_S = 1.0
+_UNKNOWN_WAIT_S = 3600.0
+_NO_SLOT_RETRY_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +56,7 @@
         self._limits = limits
         self._statistics = statistics
         self._rng = rng
+        self._empty_since: float | None = None
 
     def capacity(self, now: float, place_capacity: int) -> Capacity:
         slots = free = 0
@@ -63,6 +68,7 @@
             free += max(0, usable - state.in_progress)
         slots = min(slots, place_capacity)
         free = min(free, max(0, place_capacity - self._servers.in_progress))
+        self._note_slots(now, slots)
         limit = self._limits.shard_limit(now, slots) if self._queues.is_limiting_long else slots
         return Capacity(slots, free, self._servers.long_in_progress, limit)
 
@@ -78,10 +84,26 @@
         """Return the time until an item starts that has ``ahead_s`` of slot time before it."""
         slots = self.lane_slots(capacity, item.is_long)
         if not slots:
-            return self._servers.returns_in_s(now) + ahead_s
+            return self._no_slots_wait_s(now) + ahead_s
         # The first slot comes free after about one service time over the slots.
         return _CAUTION * (ahead_s + item.cost_s) / slots
 
+    def _note_slots(self, now: float, slots: int) -> None:
+        if slots:
+            self._empty_since = None
+        elif self._empty_since is None:
+            self._empty_since = now
+
+    def _no_slots_wait_s(self, now: float) -> float:
+        """Return the time until there is a slot again, when there is none.
+
+        Tokens come within a moment of a change of the owner. If they do not, nothing tells
+        when they will, and waiting work is answered at once.
+        """
+        returns_in_s = self._servers.returns_in_s(now)
+        is_handover = self._empty_since is None or now - self._empty_since < HANDOVER_S
+        return returns_in_s if is_handover else max(returns_in_s, _UNKNOWN_WAIT_S)
+
     def lane_wait_s(self, capacity: Capacity, lane: Lane, is_long: bool) -> float:
         slots = self.lane_slots(capacity, is_long)
         return lane.backlog_s / slots if slots else lane.backlog_s
@@ -100,5 +122,7 @@
 
     def retry_after_s(self, wait_s: float) -> float:
         """Return a jittered time after which about half of the queue has drained."""
+        if wait_s >= _UNKNOWN_WAIT_S:
+            wait_s = _NO_SLOT_RETRY_S
         wait = min(_RETRY_AFTER_MOST_S, max(_RETRY_AFTER_LEAST_S, wait_s))
         return wait * (1 + _JITTER * self._rng.random())
--- a/src/hibiscushaven/entry/node.py
+++ b/src/hibiscushaven/entry/node.py
@@ -19,6 +19,7 @@
 from hibiscushaven.slots import RosterKeeper, SlotNode
 
 from .documents import KINDS, DocumentExchange
+from .link_desk import LinkDesk
 from .look_up import LookupDesk
 from .mail import Mail
 from .neighbours import Neighbours
@@ -145,6 +146,9 @@
         self.steering = Steering(
             self.catalog, self.membership, self.neighbours, self._rng, self.clock
         )
+        self.links = LinkDesk(
+            settings.region, self.catalog, self.membership, self.neighbours, self.clock
+        )
         self.relay_client = RelayClient(self.hub)
         self.routes = Routes(
             self.catalog,
@@ -154,6 +158,7 @@
             self.relay_client,
             self._rng,
             self.clock,
+            self.links,
         )
         self.relay_server = RelayServer(self.hub, self.routes.serve)
         self.claims = ClaimKeeper(
@@ -197,6 +202,7 @@
         )
         self.mail.post_all(self.slots.tick(now, view))
         self.owners.refresh()
+        self.links.refresh()
         self.steering.refresh()
         self.look_ups.refresh()
         self.documents.report()
@@ -204,6 +210,7 @@
         self.membership.set_part("down", sorted(down))
         self.membership.set_part("heard", sorted(self._heard()))
         self._exchange_crashes(now)
+        self.membership.set_part("usable", self.owners.usable())
 
     async def _read_list(self) -> None:
         try:
--- a/src/hibiscushaven/entry/owners.py
+++ b/src/hibiscushaven/entry/owners.py
@@ -94,6 +94,13 @@
         path, _, query = request.target.partition("?")
         return request_fingerprint(request.method, path, query, request.body)
 
+    def usable(self) -> dict[str, int]:
+        """Return how many requests may be in progress here now, by service."""
+        counts: dict[str, int] = {}
+        for shard, runner in self._runners.items():
+            counts[shard.service] = counts.get(shard.service, 0) + runner.usable
+        return counts
+
     async def close(self) -> None:
         for runner in (*self._runners.values(), *self._retired):
             await runner.close()
--- a/src/hibiscushaven/entry/parts.py
+++ b/src/hibiscushaven/entry/parts.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from hibiscushaven.membership import combiner
+from hibiscushaven.membership.parts import add_per_key
 
 __all__ = ["MAX_REPORTED_VMS"]
 
@@ -11,6 +12,9 @@
 MAX_REPORTED_VMS = 32
 
 
+combiner("link_users", "usable")(add_per_key)
+
+
 @combiner("revisions")
 def combine_revisions(values: list[dict[str, dict[str, int]]]) -> dict[str, dict[str, int]]:
     """Return the revisions in force by VM, those that are behind first.
--- a/src/hibiscushaven/entry/routes.py
+++ b/src/hibiscushaven/entry/routes.py
@@ -4,6 +4,7 @@
 import logging
 import random
 from collections.abc import AsyncIterator
+from dataclasses import replace
 
 from hibiscushaven.delivery import (
     AttemptError,
@@ -21,6 +22,7 @@
 
 from .clock import Clock
 from .errors import RouteError
+from .link_desk import LinkDesk, LinkFullError, metered
 from .neighbours import Neighbours
 from .owners import ShardOwners
 from .problems import Problem
@@ -34,6 +36,7 @@
 _OWNER_CHANGED = "owner-changed"
 _NO_OWNER = "no-owner"
 _RETRY_NO_OWNER_S = 1.0
+_RETRY_LINK_FULL_S = 1.0
 
 
 class Routes:
@@ -48,7 +51,9 @@
         relay: RelayClient,
         rng: random.Random,
         clock: Clock,
+        links: LinkDesk,
     ) -> None:
+        self._links = links
         self._clock = clock
         self._catalog = catalog
         self._neighbours = neighbours
@@ -98,7 +103,19 @@
             body=request.body,
             attributes=(("class", request_class.name), ("from", self._neighbours.domain)),
         )
-        return await self._pass(relayed, item.deadline, is_long=request_class.is_long)
+        is_long = request_class.is_long
+        try:
+            link = self._links.enter(item.entry.document, request_class.name, is_long, domain)
+        except LinkFullError as error:
+            raise RouteError(Outcome.NOT_RUN, str(error), _RETRY_LINK_FULL_S) from error
+        if link is None:
+            return await self._pass(relayed, item.deadline, is_long)
+        try:
+            answer = await self._pass(relayed, item.deadline, is_long)
+        except BaseException:
+            link.close(len(request.body), is_complete=False)
+            raise
+        return replace(answer, body=metered(answer.body, link, len(request.body)))
 
     async def serve(self, link: PeerLink, request: RelayRequest, responder: Responder) -> None:
         """Serve a relayed request: run it here if this VM owns a shard, else send it on."""
--- a/src/hibiscushaven/entry/shard_runner.py
+++ b/src/hibiscushaven/entry/shard_runner.py
@@ -186,6 +186,13 @@
         if fingerprints:
             self._dispatcher.crashes.merge(now, fingerprints)
 
+    @property
+    def usable(self) -> int:
+        """How many requests may be in progress now, on servers that are not set aside."""
+        snapshot = self._dispatcher.snapshot(self._clock.now())
+        counts = snapshot.in_progress.items()
+        return snapshot.free_slots + sum(n for name, n in counts if name not in snapshot.set_aside)
+
     def describe(self) -> dict[str, object]:
         """Return the state for operators."""
         snapshot = self._dispatcher.snapshot(self._clock.now())
--- a/src/hibiscushaven/entry/steering.py
+++ b/src/hibiscushaven/entry/steering.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Mapping
 
-from hibiscushaven.documents import CatalogEntry, DocumentCatalog
+from hibiscushaven.documents import CatalogEntry, DocumentCatalog, ServiceDocument
 from hibiscushaven.membership import MembershipNode, combiner
 from hibiscushaven.shifts import ArrivalRates, Flows, ForeignAdmission, ShareRamp, plan_flows
 
@@ -131,7 +131,11 @@
             ramp.set_available(now, frozenset(places))
         if ramp.can_adopt:
             ramp.adopt(now, self._peer_shares(document.name))
+        ramp.set_usable(now, self._usable(document))
         arrivals = self._arrivals(now, document.name)
+        fleet_shares = self._fleet_shares(document.name, arrivals)
+        if fleet_shares:
+            ramp.set_fleet(now, fleet_shares)
         shares = ramp.shares_by_domain(now)
         regions = {place.failure_domain: place.region for place in document.places}
         heard = sum(arrivals.values())
@@ -160,6 +164,28 @@
             arrivals[domain] = rates.get(service, 0.0)
         return arrivals
 
+    def _usable(self, document: ServiceDocument) -> dict[str, int]:
+        """Return how many requests each place may have in progress, where that is known."""
+        usable = {}
+        for place in document.places:
+            part = self._membership.digest_part(place.failure_domain, "usable") or {}
+            if document.name in part:
+                usable[place.name] = part[document.name]
+        return usable
+
+    def _fleet_shares(self, service: str, arrivals: Mapping[str, float]) -> dict[str, float]:
+        """Return the mean of the shares of all failure domains, by their arrivals."""
+        mean: dict[str, float] = {}
+        total = 0.0
+        for domain, rate in arrivals.items():
+            shares = (self._membership.digest_part(domain, "shares") or {}).get(service)
+            if shares is None:
+                continue
+            total += rate
+            for place, share in shares.items():
+                mean[place] = mean.get(place, 0.0) + rate * share
+        return {place: share / total for place, share in mean.items()} if total else {}
+
     def _peer_shares(self, service: str) -> list[Mapping[str, float]]:
         peers = (
             self._membership.peer_part(vm, "shares") or {}
--- a/src/hibiscushaven/shifts/ramp.py
+++ b/src/hibiscushaven/shifts/ramp.py
@@ -1,6 +1,7 @@
 """Current shares of a service's places, moving to their target under the shift cap."""
 
 from collections.abc import Mapping, Sequence
+from math import ceil
 from statistics import median_low
 
 from hibiscushaven.documents import ServiceDocument
@@ -22,20 +23,39 @@
 # at once but rise under the cap, so following the noise of an estimate would lower them.
 LOAD_STEP = 0.03
 
+_FITNESS_STEPS = 20
+
 # An interval may last an hour, with reports several times a second.
 _FLEET_PARTS = 64
 
 
-def target_shares(document: ServiceDocument, available: frozenset[str]) -> dict[str, float]:
-    """Return each place's weight over the sum of the active, available places' weights."""
+def target_shares(
+    document: ServiceDocument,
+    available: frozenset[str],
+    fitness: Mapping[str, float] | None = None,
+) -> dict[str, float]:
+    """Return each place's weight over the sum of the active, available places' weights.
+
+    :param fitness: part of each place's capacity that is usable, 1 where it is missing.
+    """
     weights = {
         place.name: place.weight if place.name in available and not place.is_leaving else 0.0
         for place in document.places
     }
+    fit = {name: weight * (fitness or {}).get(name, 1.0) for name, weight in weights.items()}
+    # Without any usable place, the weights say where requests wait for one.
+    weights = fit if any(fit.values()) else weights
     total = sum(weights.values())
     return {name: weight / total if total else 0.0 for name, weight in weights.items()}
 
 
+def _fitness(usable: int, capacity: int) -> float:
+    """Return the usable part of a capacity in twentieths, so that small changes move nothing."""
+    if capacity <= 0:
+        return 1.0
+    return min(1.0, ceil(_FITNESS_STEPS * usable / capacity) / _FITNESS_STEPS)
+
+
 class ShareRamp:
     """Current shares of one service's places, as one VM applies them.
 
@@ -61,6 +81,7 @@
         self._available: frozenset[str] | None = None
         self._limits: dict[str, float] = {}
         self._demand: float | None = None
+        self._fitness: dict[str, float] = {}
         self._shares: dict[str, float] = {}
         self._target: dict[str, float] = {}
         self._now = float("-inf")
@@ -122,6 +143,28 @@
         self._retarget()
         self._place(self._shares)
 
+    def set_usable(self, now: float, usable: Mapping[str, int]) -> None:
+        """Lower the target of places that cannot use their whole capacity.
+
+        A place that lost VMs lacks their slot tokens for a while. Its share falls only as
+        other places rise, under the cap.
+
+        :param usable: requests that a place may have in progress, where that is known.
+        """
+        if self._document is None:
+            return
+        places = self._document.places_by_name
+        fitness = {
+            name: _fitness(count, places[name].capacity)
+            for name, count in usable.items()
+            if name in places
+        }
+        if fitness == self._fitness:
+            return
+        self._advance(now)
+        self._fitness = fitness
+        self._retarget()
+
     def set_fleet(self, now: float, shares: Mapping[str, float]) -> None:
         """Report the shares of the whole service's traffic, from heartbeats and digests.
 
@@ -188,7 +231,7 @@
     def _retarget(self) -> None:
         if self._document is None:
             return
-        target = target_shares(self._document, self._eligible())
+        target = target_shares(self._document, self._eligible(), self._fitness)
         if self._demand is not None:
             capacities = {place.name: place.capacity for place in self._document.places}
             self._limits = capacity_limits(capacities, self._demand, 1.0)
