--- a/src/hibiscushaven/entry/neighbours.py
+++ b/src/hibiscushaven/entry/neighbours.py
@@ -14,7 +14,8 @@
 # Digests come every second and take up to two more to reach VMs that are no relays. A place
 # that counts as unreachable by mistake gets its share back only under the shift cap.
 FRESH_DIGEST_S = 5.0
-# After a start, a failure domain that was not heard yet counts as reachable for so long.
+# After a start, every listed failure domain counts as reachable for so long: relays change
+# while the first heartbeats arrive, and digests come with gaps.
 _FIRST_DIGEST_S = 15.0
 
 
@@ -39,7 +40,7 @@
         digests = self._membership.domains
         fresh = {item.domain for item in digests.values() if item.age_s < FRESH_DIGEST_S}
         if self._clock.now() - self._started_at < _FIRST_DIGEST_S:
-            fresh |= {item.failure_domain for item in self.entries} - digests.keys()
+            fresh |= {item.failure_domain for item in self.entries}
         return frozenset((self.domain, *fresh))
 
     def is_reachable(self, domain: str) -> bool:
