Do not blame both attempts of a hedge for one event

Cause: two servers killed together held both attempts of a hedge; their crashes were noted a moment apart, and the request was quarantined in the whole system for ten minutes (seen once in the process test with killed backend servers). Ruled out: stale pooled connections, since the log shows refused connections only. Change: the second crash counts only if the request was sent to that server after the first crash.

--- a/src/hibiscushaven/dispatch/crashes.py
+++ b/src/hibiscushaven/dispatch/crashes.py
@@ -1,7 +1,7 @@
 """Fingerprints of requests that crash backend servers."""
 
 from collections import OrderedDict
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 __all__ = ["CrashLedger"]
@@ -27,15 +27,15 @@
     ===========
 
     A fingerprint is quarantined once it was in progress on two different backend servers
-    when each of them crashed, at two different times: a single event that takes down two
-    servers blames nobody.
+    when each of them crashed, and was sent to the second when the first had crashed: a
+    single event that takes down two servers with both attempts of a hedge blames nobody.
 
     Examples
     ========
 
     >>> ledger = CrashLedger()
-    >>> ledger.record(1.0, "a", ["poison", "neighbour"])
-    >>> ledger.record(2.0, "b", ["poison"])
+    >>> ledger.record(1.0, "a", {"poison": 0.9, "neighbour": 0.5})
+    >>> ledger.record(2.0, "b", {"poison": 1.9})
     >>> ledger.is_quarantined(3.0, "poison"), ledger.is_quarantined(3.0, "neighbour")
     (True, False)
 
@@ -64,10 +64,13 @@
             return 0.0
         return max(0.0, entry.refused_until - now)
 
-    def record(self, now: float, server: str, fingerprints: Iterable[str]) -> None:
-        """Note the crash of a backend server and what was in progress on it."""
-        for fingerprint in set(fingerprints):
-            self._record_one(now, server, fingerprint)
+    def record(self, now: float, server: str, sent_at: Mapping[str, float]) -> None:
+        """Note the crash of a backend server.
+
+        :param sent_at: when each fingerprint in progress on it was sent to it.
+        """
+        for fingerprint, at in sent_at.items():
+            self._record_one(now, server, fingerprint, at)
         self._shrink(now)
 
     def absolve(self, fingerprint: str) -> None:
@@ -99,7 +102,7 @@
                 entry.refused_until = max(entry.refused_until, until)
         self._shrink(now)
 
-    def _record_one(self, now: float, server: str, fingerprint: str) -> None:
+    def _record_one(self, now: float, server: str, fingerprint: str, sent_at: float) -> None:
         entry = self._entries.get(fingerprint)
         if entry is not None and entry.refused_until is not None:
             if now >= entry.refused_until:
@@ -107,7 +110,7 @@
             return
         if entry is None or now >= entry.crashed_at + SUSPICION_S:
             self._put(fingerprint, _Entry(server, now))
-        elif entry.server != server and entry.crashed_at != now:
+        elif entry.server != server and sent_at >= entry.crashed_at:
             self._put(fingerprint, _Entry(server, now, now + QUARANTINE_S))
 
     def _put(self, fingerprint: str, entry: _Entry) -> None:
--- a/src/hibiscushaven/dispatch/results.py
+++ b/src/hibiscushaven/dispatch/results.py
@@ -97,13 +97,15 @@
         for other in lost:
             other.is_in_crash = True
         # A request that was never written to the server has no part in its crash.
-        fingerprints = [
-            other.item.work.fingerprint
+        sent_at = {
+            other.item.work.fingerprint: (
+                other.started_at if other.sent_at is None else other.sent_at
+            )
             for other in lost
             if other is attempt or other.sent_at is not None
-        ]
-        self._crashes.record(now, state.name, fingerprints)
-        self._attempts.suspect(fingerprints)
+        }
+        self._crashes.record(now, state.name, sent_at)
+        self._attempts.suspect(sent_at)
         state.note_down(now)
         return True
 
