Continue broken long bodies on another backend server

Cause: a long body that broke off ended the caller's connection although the rest could be had by a range request. Ruled out: a resend of the whole request, since part of the answer was passed on. Change: the rest is a job of its own in the dispatcher, so slots and budgets hold. Result: a body cut at 100,000 of 300,000 bytes arrives whole; one that breaks off four times is reported.

--- a/src/hibiscushaven/entry/routes.py
+++ b/src/hibiscushaven/entry/routes.py
@@ -8,6 +8,7 @@
 
 from hibiscushaven.delivery import (
     AttemptError,
+    CompleteBody,
     Outcome,
     RelayClient,
     RelayError,
@@ -27,6 +28,7 @@
 from .owners import ShardOwners
 from .problems import Problem
 from .requests import CallerAnswer, ClassifiedRequest
+from .resuming import run_complete
 from .shard_runner import BackendAnswer, Job, WorkRefusedError
 from .steering import Steering
 
@@ -173,7 +175,7 @@
             raise RouteError(Outcome.NOT_RUN, "share-of-place", 1.0)
         job = Job(work, request.method, request.target, request.headers, request.body)
         try:
-            answer = await runner.run(job)
+            answer = await run_complete(runner, job)
         except WorkRefusedError as error:
             is_lost = error.reason == _OWNER_CHANGED
             raise RouteError(error.outcome, error.reason, error.retry_after_s, is_lost) from error
@@ -200,7 +202,7 @@
         )
 
 
-async def _read_backend(answer: BackendAnswer) -> AsyncIterator[bytes]:
+async def _read_backend(answer: BackendAnswer | CompleteBody) -> AsyncIterator[bytes]:
     try:
         async for chunk in answer:
             yield chunk
--- a/src/hibiscushaven/entry/shard_runner.py
+++ b/src/hibiscushaven/entry/shard_runner.py
@@ -93,6 +93,15 @@
         self._buffered = buffered
         self._on_end = on_end
 
+    @property
+    def is_buffered(self) -> bool:
+        """Whether the whole body has arrived."""
+        return self._buffered is not None
+
+    @property
+    def content_length(self) -> int | None:
+        return self._head.content_length
+
     async def __aiter__(self) -> AsyncIterator[bytes]:
         """Yield the body; return only if it was complete.
 
--- /dev/null
+++ b/src/hibiscushaven/entry/tests/test_resuming.py
@@ -0,0 +1,94 @@
+"""Long bodies over real sockets: complete or reported, never cut short without notice."""
+
+import asyncio
+import random
+
+import pytest
+
+from hibiscushaven.delivery import AttemptError, BackendClient
+from hibiscushaven.dispatch import DispatchConfig, Dispatcher, Work
+from hibiscushaven.documents import parse_document
+from hibiscushaven.entry.clock import SystemClock
+from hibiscushaven.entry.resuming import run_complete
+from hibiscushaven.entry.shard_runner import Job, ShardRunner
+from hibiscushaven.standins import BackendConfig, BackendStandIn
+from hibiscushaven.standins.content import content
+
+SIZE = 300_000
+DOCUMENT = """
+[service]
+name = files
+tenant = t
+team = t
+[class pull]
+path = /*
+methods = GET
+idempotent = yes
+size = long
+deadline_ms = 20000
+[place a]
+region = a
+failure_domain = a
+capacity = 4
+"""
+
+
+class EverySlot:
+    """A source with two tokens for each backend server."""
+
+    def __init__(self):
+        self.in_use = []
+
+    def available(self, now, service, server):
+        return 2 - self.in_use.count(server)
+
+    def acquire(self, now, service, server, deadline):
+        if not self.available(now, service, server):
+            return None
+        self.in_use.append(server)
+        return server
+
+    def is_usable(self, now, token):
+        return True
+
+    def release(self, now, token):
+        self.in_use.remove(token)
+
+
+async def pull(stops):
+    """Pull one body from two backend servers and return it with the slots still in use."""
+    servers = [BackendStandIn(BackendConfig(slots=2)) for _ in range(2)]
+    text = DOCUMENT
+    for number, server in enumerate(servers):
+        server.faults.stops.extend(stops)
+        port = await server.start("127.0.0.1", 0)
+        text += f"[server s{number}]\nplace = a\naddress = 127.0.0.1:{port}\nslots = 2\n"
+    document = parse_document(text).ok
+    clock, slots, client = SystemClock(), EverySlot(), BackendClient()
+    dispatcher = Dispatcher(DispatchConfig(), slots, random.Random(1))
+    runner = ShardRunner(dispatcher, client, lambda now, token: now + 2, clock)
+    runner.set_document(document, document.servers)
+    work = Work("w", "files", "t", "c", 1.0, document.classes[0], clock.now() + 20, "f")
+    job = Job(work, "GET", f"/bundle?bytes={SIZE}", (), b"")
+    try:
+        answer = await run_complete(runner, job)
+        body = b"".join([chunk async for chunk in answer])
+        return body, list(slots.in_use)
+    finally:
+        await runner.close()
+        await client.close()
+        for server in servers:
+            await server.close()
+
+
+def test_truncated_body_is_continued():
+    """Guards against a download that is lost because one backend server broke off."""
+    body, in_use = asyncio.run(pull([("truncate", 100_000)]))
+    assert body == content(0, SIZE)
+    assert in_use == []
+
+
+def test_body_that_breaks_off_again_and_again_is_not_complete():
+    """Guards against passing a truncated body on as a whole one."""
+    with pytest.raises(AttemptError):
+        asyncio.run(pull([("truncate", 1000)] * 4))
