Count the start of steering from the first list of VMs

Cause: the grace for unheard failure domains ran from the construction of the node; on a busy machine it was over before the list arrived, and places were taken out.

--- a/src/hibiscushaven/entry/neighbours.py
+++ b/src/hibiscushaven/entry/neighbours.py
@@ -14,8 +14,8 @@
 # Digests come every second and take up to two more to reach VMs that are no relays. A place
 # that counts as unreachable by mistake gets its share back only under the shift cap.
 FRESH_DIGEST_S = 5.0
-# After a start, every listed failure domain counts as reachable for so long: relays change
-# while the first heartbeats arrive, and digests come with gaps.
+# Every listed failure domain counts as reachable for so long after the first list: relays
+# change while the first heartbeats arrive, and digests come with gaps.
 _FIRST_DIGEST_S = 15.0
 
 
@@ -25,7 +25,7 @@
     def __init__(self, membership: MembershipNode, clock: Clock) -> None:
         self._membership = membership
         self._clock = clock
-        self._started_at = clock.now()
+        self._listed_at: float | None = None
 
     @property
     def domain(self) -> str:
@@ -39,10 +39,17 @@
         """Return the failure domains that were heard lately, with the own one."""
         digests = self._membership.domains
         fresh = {item.domain for item in digests.values() if item.age_s < FRESH_DIGEST_S}
-        if self._clock.now() - self._started_at < _FIRST_DIGEST_S:
+        if self._is_starting:
             fresh |= {item.failure_domain for item in self.entries}
         return frozenset((self.domain, *fresh))
 
+    @property
+    def _is_starting(self) -> bool:
+        now = self._clock.now()
+        if self._listed_at is None and self.entries:
+            self._listed_at = now
+        return self._listed_at is None or now - self._listed_at < _FIRST_DIGEST_S
+
     def is_reachable(self, domain: str) -> bool:
         return domain in self.reachable_domains()
 
--- a/src/hibiscushaven/entry/steering.py
+++ b/src/hibiscushaven/entry/steering.py
@@ -14,8 +14,6 @@
 __all__ = ["Steering"]
 
 _REFRESH_S = 0.25
-# The platform's list takes a moment to arrive; until then no place counts as unreachable.
-_START_GRACE_S = 4.0
 # Requests a second below which a place's share is a few requests, which overload nothing.
 _LEAST_TOTAL_RATE = 200.0
 _LEAST_RATE = 0.001
@@ -60,7 +58,6 @@
         self._flows: dict[str, Flows] = {}
         self._foreign: dict[str, ForeignAdmission] = {}
         self._totals: dict[str, DecayingMaximum] = {}
-        self._started_at = self._clock.now()
         self._refreshed_at = float("-inf")
 
     def note_arrival(self, service: str) -> None:
@@ -125,7 +122,8 @@
         if self._revisions.get(document.name) != entry.revision:
             self._revisions[document.name] = entry.revision
             ramp.set_document(now, document, entry.ramp or None)
-        if now - self._started_at > _START_GRACE_S:
+        # Until the platform's list arrives, no place counts as unreachable.
+        if self._neighbours.entries:
             reachable = self._neighbours.reachable_domains()
             places = (p.name for p in document.places if p.failure_domain in reachable)
             ramp.set_available(now, frozenset(places))
