Lend slot tokens until the work of a leaving VM is finished

Cause: a leaving VM took its tokens back at once, so that its place lost their capacity while callers with kept look-ups still used the VM. Change: the tokens go back once its work is finished.

--- a/src/hibiscushaven/entry/link_desk.py
+++ b/src/hibiscushaven/entry/link_desk.py
@@ -1,7 +1,8 @@
 """Budgets of the links between this VM's region and the others."""
 
 import asyncio
-from collections.abc import AsyncIterator, Mapping
+import contextlib
+from collections.abc import AsyncIterator, Iterator, Mapping
 
 from hibiscushaven.documents import DocumentCatalog, ServiceDocument
 from hibiscushaven.links import LinkBudget, LinkUse
@@ -50,6 +51,14 @@
         if wait_s > 0:
             await asyncio.sleep(wait_s)
 
+    @contextlib.contextmanager
+    def closed_on_failure(self, request_bytes: int) -> Iterator[None]:
+        """Close the pass if there will be no body to count."""
+        with contextlib.ExitStack() as stack:
+            stack.callback(self.close, request_bytes, is_complete=False)
+            yield
+            stack.pop_all()
+
     def close(self, request_bytes: int, is_complete: bool) -> None:
         """Free what was set aside; a complete body improves the prediction."""
         moved = self._bytes + request_bytes
--- a/src/hibiscushaven/entry/node.py
+++ b/src/hibiscushaven/entry/node.py
@@ -115,10 +115,14 @@
         self.membership.set_part("leaving", [self.identity.vm])
         self.membership.set_leaving(self.clock.now())
         self.look_ups.set_leaving()
-        self.slots.withdraw()
 
     async def leave_roster(self) -> bool:
-        """Give up the slot tokens of this VM; return whether that is done."""
+        """Give up the slot tokens of this VM; return whether that is done.
+
+        Called when the work here is finished: until then the new owners go on borrowing the
+        tokens, so that a planned stop costs no capacity.
+        """
+        self.slots.withdraw()
         return self.slots.is_drained and await self.roster.leave(self.clock.now())
 
     def _compose_documents(self) -> None:
--- a/src/hibiscushaven/entry/routes.py
+++ b/src/hibiscushaven/entry/routes.py
@@ -112,12 +112,10 @@
             raise RouteError(Outcome.NOT_RUN, str(error), _RETRY_LINK_FULL_S) from error
         if link is None:
             return await self._pass(relayed, item.deadline, is_long)
-        try:
+        size = len(request.body)
+        with link.closed_on_failure(size):
             answer = await self._pass(relayed, item.deadline, is_long)
-        except BaseException:
-            link.close(len(request.body), is_complete=False)
-            raise
-        return replace(answer, body=metered(answer.body, link, len(request.body)))
+        return replace(answer, body=metered(answer.body, link, size))
 
     async def serve(self, link: PeerLink, request: RelayRequest, responder: Responder) -> None:
         """Serve a relayed request: run it here if this VM owns a shard, else send it on."""
