Report every mistake of settings and deployment files

Cause: titles such as [vm x] or [log x] were ignored or read as another section, a repeated section hid all other problems, equal ports were reported only when nothing else was wrong, URLs with a port over 65535, overlapping or overlong address ranges, missing documents and files that are not UTF-8 ended in a traceback or in two VMs on one address, and a section titled with a NUL gave every section its keys.

Ruled out: keeping the first duplicate as the only problem; the file is read on without strictness instead.

Change: shared checks of titles, missing sections and ports; a kind of URL; checks of addresses, delays, regions and documents of deployments; a title that cannot occur as the default section of the INI parser. Integers have digits only.

--- a/src/hibiscushaven/ini/fields.py
+++ b/src/hibiscushaven/ini/fields.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
+from urllib.parse import urlsplit
 
 __all__ = [
     "Endpoint",
@@ -19,8 +20,11 @@
     "integer",
     "number",
     "text",
+    "url",
 ]
 
+# int() also takes signs, spaces, underscores and digits of other scripts.
+_INTEGER = re.compile(r"-?[0-9]{1,18}")
 _BOOLEANS = {"yes": True, "true": True, "on": True, "no": False, "false": False, "off": False}
 
 
@@ -84,6 +88,8 @@
     """Return the kind of integers from ``low`` to ``high``."""
 
     def parse(value: str) -> int:
+        if not _INTEGER.fullmatch(value):
+            raise ValueError(value)
         number_ = int(value)
         if not low <= number_ <= high:
             raise ValueError(value)
@@ -148,12 +154,15 @@
 
     """
 
+    ports = integer(1, 65535)
+
     def parse(value: str) -> Endpoint:
-        host, _, port = value.rpartition(":")
-        address = ipaddress.ip_address(host.strip("[]"))
-        if not 1 <= int(port) <= 65535:
+        host_, _, port = value.rpartition(":")
+        is_bracketed = host_.startswith("[") and host_.endswith("]")
+        address = ipaddress.ip_address(host_[1:-1] if is_bracketed else host_)
+        if is_bracketed != (address.version == 6):
             raise ValueError(value)
-        return Endpoint(str(address), int(port))
+        return Endpoint(str(address), ports.parse(port))
 
     return Kind(parse, "an IP number and a port, such as 127.0.0.1:8000")
 
@@ -163,6 +172,30 @@
     return Kind(lambda value: str(ipaddress.ip_address(value)), "an IP number")
 
 
+def url() -> Kind:
+    """Return the kind of HTTP addresses that consist of a scheme, a host and a port.
+
+    Examples
+    ========
+
+    >>> url().parse("http://127.0.0.1:7000/")
+    'http://127.0.0.1:7000'
+
+    """
+
+    def parse(value: str) -> str:
+        parts = urlsplit(value)
+        is_bare = parts.path in ("", "/") and not parts.query and not parts.fragment
+        if parts.scheme not in ("http", "https") or not parts.hostname or not is_bare:
+            raise ValueError(value)
+        # Reading the port raises ValueError if it is no number or too large.
+        if parts.port == 0 or parts.username is not None or re.search(r"\s", value):
+            raise ValueError(value)
+        return value.rstrip("/")
+
+    return Kind(parse, "an address such as http://127.0.0.1:7000")
+
+
 def digest() -> Kind:
     """Return the kind of SHA-256 digests in hexadecimal."""
     return text(r"[0-9a-f]{64}", "a SHA-256 digest of 64 hexadecimal digits")
--- a/src/hibiscushaven/ini/sections.py
+++ b/src/hibiscushaven/ini/sections.py
@@ -45,26 +45,52 @@
     ["[vm] port = 'x': expected an integer from 1 to 9"]
 
     """
-    parser = configparser.ConfigParser(interpolation=None, default_section="\0")
-    parser.optionxform = str
+    problems: list[IniProblem] = []
     try:
-        parser.read_string(text)
+        _make_parser(is_strict=True).read_string(text)
+    except (configparser.DuplicateSectionError, configparser.DuplicateOptionError) as error:
+        # The file is read on, so that the other problems are reported as well.
+        problems.append(_describe_duplicate(error))
     except configparser.Error as error:
         return (), (IniProblem("file", "", " ".join(str(error).split()), "an INI file"),)
-    problems: list[IniProblem] = []
+    parser = _make_parser(is_strict=False)
+    try:
+        parser.read_string(text)
+    except configparser.Error as error:
+        return (), (*problems, IniProblem("file", "", " ".join(str(error).split()), "an INI file"))
     sections = []
+    titles: set[str] = set()
     for title in parser.sections():
         kind, _, name = title.partition(" ")
         if kind not in layout:
             kinds = "a section of kind " + ", ".join(sorted(layout))
             problems.append(IniProblem(title, "", title, kinds))
             continue
+        normalized = " ".join(title.split())
+        if normalized in titles:
+            problems.append(IniProblem(title, "", title, "each section once"))
+        titles.add(normalized)
         values = parser[title]
         problems.extend(_check(title, values, layout[kind]))
         sections.append(Section(kind, name.strip(), dict(_read(values, layout[kind]))))
     return tuple(sections), tuple(problems)
 
 
+def _make_parser(is_strict: bool) -> configparser.ConfigParser:
+    # No title can be a line break, so that no section holds defaults for the others.
+    parser = configparser.ConfigParser(interpolation=None, default_section="\n", strict=is_strict)
+    parser.optionxform = str
+    return parser
+
+
+def _describe_duplicate(
+    error: configparser.DuplicateSectionError | configparser.DuplicateOptionError,
+) -> IniProblem:
+    if isinstance(error, configparser.DuplicateSectionError):
+        return IniProblem(error.section, "", f"line {error.lineno}", "each section once")
+    return IniProblem(error.section, error.option, f"line {error.lineno}", "each key once")
+
+
 def _check(
     title: str, values: Mapping[str, str], fields: tuple[Field, ...]
 ) -> Iterator[IniProblem]:
--- a/src/hibiscushaven/settings/deployment.py
+++ b/src/hibiscushaven/settings/deployment.py
@@ -1,16 +1,19 @@
 """One file that describes a whole deployment on one machine, for the demo and tests."""
 
 import ipaddress
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from pathlib import Path
 from urllib.parse import urlsplit
 
 from expression import Error, Ok, Result
 
-from hibiscushaven.ini import Field, IniProblem, integer, number, read_sections, text
+from hibiscushaven.documents import parse_document
+from hibiscushaven.ini import Field, IniProblem, Section, integer, number, read_sections, text
 from hibiscushaven.ini.fields import host
 from hibiscushaven.platform import VmEntry, VmState
 
+from .checks import check_missing, check_ports, check_titles
 from .vm import COMMON_LAYOUT, Settings, common_settings
 
 __all__ = ["Deployment", "FailureDomain", "is_deployment", "parse_deployment", "settings_for"]
@@ -37,6 +40,10 @@
 }
 
 
+_NAMED = frozenset({"failure_domain", "delay", "service", "team"})
+_DELAYS = ("failure_domains", "regions", "clients")
+
+
 @dataclass(frozen=True, slots=True)
 class FailureDomain:
     """A failure domain and its entry VMs.
@@ -101,11 +108,16 @@
     :param folder: folder that the documents' paths are relative to.
     """
     sections, problems = read_sections(source, _LAYOUT)
-    found = {section.title: section.values for section in sections}
-    missing = [kind for kind in ("deployment", "platform") if kind not in found]
-    problems += tuple(IniProblem(kind, "", None, "this section") for kind in missing)
-    if not any(section.kind == "failure_domain" for section in sections):
-        problems += (IniProblem("failure_domain", "", None, "a [failure_domain NAME] section"),)
+    found = {section.kind: section.values for section in sections}
+    problems += (
+        *check_titles(sections, _NAMED),
+        *check_missing(sections, ("deployment", "platform", "failure_domain")),
+        *check_ports("deployment", found.get("deployment", {})),
+        *_check_delays(sections),
+        *_check_regions(sections),
+        *_check_addresses(sections),
+        *_check_documents(sections, folder),
+    )
     if problems:
         return Error(problems)
     general = found["deployment"]
@@ -142,7 +154,74 @@
     return Error((IniProblem("vm", "name", vm, names),))
 
 
-def _vms(domain: FailureDomain, ports: dict[str, int], common: dict):
+def _check_delays(sections: Iterable[Section]) -> Iterator[IniProblem]:
+    for section in sections:
+        if section.kind == "delay" and section.name not in _DELAYS:
+            allowed = "one of " + ", ".join(f"[delay {name}]" for name in _DELAYS)
+            yield IniProblem(section.title, "", section.title, allowed)
+
+
+def _check_regions(sections: Iterable[Section]) -> Iterator[IniProblem]:
+    regions = {item.values["region"] for item in sections if item.kind == "failure_domain"}
+    for section in sections:
+        if section.kind != "deployment":
+            continue
+        region = section.values["platform_region"]
+        if region is not None and region not in regions:
+            allowed = "a region of a failure domain"
+            yield IniProblem(section.title, "platform_region", region, allowed)
+
+
+def _check_addresses(sections: Iterable[Section]) -> Iterator[IniProblem]:
+    """Report failure domains whose VMs have addresses past the end, or of another's VMs."""
+    users: dict[tuple[int, int], str] = {}
+    for section in sections:
+        count, first = section.values.get("entry_vms"), section.values.get("first_host")
+        if section.kind != "failure_domain" or count is None or first is None:
+            continue
+        address = ipaddress.ip_address(first)
+        if int(address) + count - 1 >= 1 << address.max_prefixlen:
+            allowed = f"an IP number with {count - 1} more after it"
+            yield IniProblem(section.title, "first_host", first, allowed)
+            continue
+        keys = [(address.version, int(address) + number_) for number_ in range(count)]
+        others = sorted({users[key] for key in keys if key in users})
+        if others:
+            allowed = f"{count} addresses that [{others[0]}] does not use"
+            yield IniProblem(section.title, "first_host", first, allowed)
+        users.update((key, section.title) for key in keys)
+
+
+def _check_documents(sections: Iterable[Section], folder: Path) -> Iterator[IniProblem]:
+    """Report documents that do not exist, are no documents, or are those of another service."""
+    for section in sections:
+        path = section.values.get("document") if section.kind == "service" else None
+        if path is None:
+            continue
+        try:
+            source = (folder / path).read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError, ValueError) as error:
+            allowed = f"a document that can be read ({describe_read_error(error)})"
+            yield IniProblem(section.title, "document", path, allowed)
+            continue
+        parsed = parse_document(source)
+        if parsed.is_error():
+            for problem in parsed.error:
+                allowed = f"a document without problems ({problem})"
+                yield IniProblem(section.title, "document", path, allowed)
+        elif parsed.ok.name != section.name:
+            allowed = f"a document of {section.name!r}, not of {parsed.ok.name!r}"
+            yield IniProblem(section.title, "document", path, allowed)
+
+
+def describe_read_error(error: OSError | ValueError) -> str:
+    """Return in a few words why a file cannot be read."""
+    if isinstance(error, UnicodeDecodeError):
+        return f"not UTF-8 at byte {error.start}"
+    return getattr(error, "strerror", None) or str(error)
+
+
+def _vms(domain: FailureDomain, ports: dict[str, int], common: dict) -> Iterator[Settings]:
     first = ipaddress.ip_address(domain.first_host)
     for number_ in range(domain.entry_vms):
         yield Settings(
--- a/src/hibiscushaven/settings/files.py
+++ b/src/hibiscushaven/settings/files.py
@@ -2,11 +2,17 @@
 
 from pathlib import Path
 
-from expression import Error, Result
+from expression import Error, Ok, Result
 
 from hibiscushaven.ini import IniProblem
 
-from .deployment import Deployment, is_deployment, parse_deployment, settings_for
+from .deployment import (
+    Deployment,
+    describe_read_error,
+    is_deployment,
+    parse_deployment,
+    settings_for,
+)
 from .vm import Settings, parse_settings
 
 __all__ = ["load_deployment", "load_settings"]
@@ -19,9 +25,15 @@
 
     :param vm: name of the VM, which a deployment file needs.
     """
-    source = _read(path)
-    if source is None:
-        return Error((IniProblem("file", "", path, "a text in UTF-8"),))
+    return _read(path).bind(lambda source: _parse(source, path, vm))
+
+
+def load_deployment(path: str) -> Result[Deployment, Problems]:
+    """Read a deployment file."""
+    return _read(path).bind(lambda source: parse_deployment(source, Path(path).parent))
+
+
+def _parse(source: str, path: str, vm: str | None) -> Result[Settings, Problems]:
     if not is_deployment(source):
         if vm is not None:
             return Error((IniProblem("file", "", path, "a deployment file, since a VM is named"),))
@@ -33,16 +45,9 @@
     )
 
 
-def load_deployment(path: str) -> Result[Deployment, Problems]:
-    """Read a deployment file."""
-    source = _read(path)
-    if source is None:
-        return Error((IniProblem("file", "", path, "a text in UTF-8"),))
-    return parse_deployment(source, Path(path).parent)
-
-
-def _read(path: str) -> str | None:
+def _read(path: str) -> Result[str, Problems]:
     try:
-        return Path(path).read_text(encoding="utf-8")
-    except UnicodeDecodeError:
-        return None
+        return Ok(Path(path).read_text(encoding="utf-8"))
+    except (OSError, ValueError) as error:
+        allowed = f"a text in UTF-8 that can be read ({describe_read_error(error)})"
+        return Error((IniProblem("file", "", path, allowed),))
--- /dev/null
+++ b/src/hibiscushaven/settings/tests/test_settings.py
@@ -0,0 +1,91 @@
+"""Settings of one VM: every mistake is named, and none is a traceback."""
+
+import pytest
+
+from hibiscushaven.ini.fields import Endpoint
+from hibiscushaven.settings import load_settings, parse_settings
+
+GOOD = """
+[vm]
+name = north-vm1
+region = north
+failure_domain = north-1
+host = 127.0.0.1
+[peers]
+seeds = 127.0.0.2:7070 [::1]:7070
+[platform]
+url = http://127.0.0.1:7000
+"""
+
+
+def problems_of(source):
+    result = parse_settings(source)
+    return [str(item) for item in result.error] if result.is_error() else []
+
+
+def test_settings_have_the_values_and_defaults():
+    """Guards against keys that are read and not used."""
+    settings = parse_settings(GOOD).ok
+    assert settings.seeds == (Endpoint("127.0.0.2", 7070), Endpoint("::1", 7070))
+    assert (settings.http_port, settings.peer_port, settings.log.format) == (8080, 7070, "json")
+
+
+def test_all_problems_are_reported_at_once():
+    """Guards against operators who correct one mistake per start."""
+    found = problems_of(
+        "[vm]\nname = a b\nregion = north\nhost = localhost\nhttp_port = 70000\ncolour = red\n"
+        "[peers]\nseeds = nowhere 127.0.0.1:1 127.0.0.1:1\n[log]\nlevel = loud\n[extra]\n"
+    )
+    wanted = [
+        "[vm] name = 'a b': expected letters, digits, '.', '_' and '-'",
+        "[vm] failure_domain: missing; expected letters, digits, '.', '_' and '-'",
+        "[vm] host = 'localhost': expected an IP number",
+        "[vm] http_port = '70000': expected an integer from 1 to 65535",
+        "[log] level = 'loud': expected one of debug, info, warning, error",
+        "[peers] seeds = 'nowhere': expected an IP number and a port, such as 127.0.0.1:8000",
+        "[peers] seeds = '127.0.0.1:1': expected each address once",
+        "[platform]: missing; expected this section",
+    ]
+    assert [item for item in wanted if item not in found] == []
+    assert any(item.startswith("[vm] colour = 'red': expected one of the keys") for item in found)
+    assert any(item.startswith("[extra] = 'extra': expected a section of kind") for item in found)
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "wanted"),
+    [
+        ("[vm]", "[vm north]", "[vm north] = 'vm north': expected [vm] without a name"),
+        ("[peers]", "[peers x]", "[peers x] = 'peers x': expected [peers] without a name"),
+        ("[peers]", "[vm ]\n[peers]", "expected each section once"),
+        ("[peers]", "[vm]\n[peers]", "[vm] = 'line 7': expected each section once"),
+        ("host =", "host = ::1\nhost =", "[vm] host = 'line 7': expected each key once"),
+        ("[peers]", "peer_port = 8080\n[peers]", "[vm] peer_port = '8080': expected a port other"),
+        ("[peers]", "peer_port = 7_0\n[peers]", "[vm] peer_port = '7_0': expected an integer"),
+        ("http:", "ftp:", "[platform] url = 'ftp://127.0.0.1:7000': expected an address"),
+        (":7000", ":70000", "[platform] url = 'http://127.0.0.1:70000': expected an address"),
+        (":7000", ":0", "[platform] url = 'http://127.0.0.1:0': expected an address"),
+        ("//127.0.0.1:7000", "//", "[platform] url = 'http://': expected an address"),
+        (":7000", ":7000/x?y", "[platform] url = 'http://127.0.0.1:7000/x?y': expected"),
+        ("[::1]:7070", "::1:7070", "[peers] seeds = '::1:7070': expected an IP number and a port"),
+        ("[platform]", "[platform", "expected an INI file"),
+    ],
+)
+def test_wrong_settings_name_section_key_value_and_what_is_allowed(old, new, wanted):
+    """Guards against mistakes that are ignored, or reported without their place."""
+    assert wanted in "\n".join(problems_of(GOOD.replace(old, new, 1)))
+
+
+def test_section_that_occurs_twice_does_not_hide_other_problems():
+    """Guards against a parser that stops at the first repeated section."""
+    found = problems_of(GOOD.replace("[peers]", "colour = red\n[vm]\n[peers]"))
+    assert [item for item in found if "colour" in item]
+
+
+@pytest.mark.parametrize("content", [None, b"[vm]\nname = \xff\n"])
+def test_file_that_cannot_be_read_is_a_problem(tmp_path, content):
+    """Guards against a traceback for a missing file or one that is not UTF-8."""
+    path = tmp_path / "vm.ini"
+    if content is not None:
+        path.write_bytes(content)
+    (problem,) = load_settings(str(path)).error
+    assert str(path) in str(problem) and "a text in UTF-8" in str(problem)
--- a/src/hibiscushaven/settings/vm.py
+++ b/src/hibiscushaven/settings/vm.py
@@ -1,11 +1,14 @@
 """Settings of one VM, read from an INI file."""
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 from expression import Error, Ok, Result
 
 from hibiscushaven.ini import Field, IniProblem, choice, integer, number, read_sections, text
-from hibiscushaven.ini.fields import Endpoint, endpoint, host
+from hibiscushaven.ini.fields import Endpoint, endpoint, host, url
+
+from .checks import check_missing, check_ports, check_titles
 
 __all__ = ["COMMON_LAYOUT", "LogSettings", "Settings", "common_settings", "parse_settings"]
 
@@ -13,7 +16,7 @@
 
 COMMON_LAYOUT = {
     "platform": (
-        Field("url", text(r"https?://\S+", "an address such as http://127.0.0.1:7000")),
+        Field("url", url()),
         Field("timeout_s", number(0.05, 60), 2.0, False),
     ),
     "log": (
@@ -35,7 +38,7 @@
         Field("http_port", integer(1, 65535), 8080, False),
         Field("peer_port", integer(1, 65535), 7070, False),
     ),
-    "peers": (Field("seeds", text(r"[0-9a-fA-F.:\[\] \n]*", "IP numbers and ports"), "", False),),
+    "peers": (Field("seeds", text(r"(?s).*", "IP numbers and ports"), "", False),),
     **COMMON_LAYOUT,
 }
 
@@ -84,14 +87,14 @@
 
     """
     sections, problems = read_sections(source, _LAYOUT)
-    found = {section.title: section.values for section in sections}
-    missing = [kind for kind in ("vm", "platform") if kind not in found]
-    problems += tuple(IniProblem(kind, "", None, "this section") for kind in missing)
+    found = {section.kind: section.values for section in sections}
     seeds = found.get("peers", {}).get("seeds", "").split()
-    problems += tuple(_seed_problems(seeds))
-    if not problems and found["vm"]["http_port"] == found["vm"]["peer_port"]:
-        port = str(found["vm"]["peer_port"])
-        problems = (IniProblem("vm", "peer_port", port, "a port other than http_port"),)
+    problems += (
+        *check_titles(sections, ()),
+        *check_missing(sections, ("vm", "platform")),
+        *check_ports("vm", found.get("vm", {})),
+        *_check_seeds(seeds),
+    )
     if problems:
         return Error(problems)
     return Ok(
@@ -114,10 +117,15 @@
     }
 
 
-def _seed_problems(seeds: list[str]):
+def _check_seeds(seeds: list[str]) -> Iterator[IniProblem]:
     kind = endpoint()
+    known = set()
     for seed in seeds:
         try:
-            kind.parse(seed)
+            parsed = kind.parse(seed)
         except ValueError:
             yield IniProblem("peers", "seeds", seed, kind.allowed)
+            continue
+        if parsed in known:
+            yield IniProblem("peers", "seeds", seed, "each address once")
+        known.add(parsed)
