Close answers however they end, and check the path that is sent

Cause: tests of the callers' interface found that an encoded slash after the service made the checked path differ from the path that was sent, so that a caller reached /-/ endpoints; that an answer whose caller left before its body was read was never closed, and its slot, its claim and its place among the requests in progress stayed taken; that a download given up half-way held its slot until the deadline; that a Request-Timeout of thousands of digits and a caller that broke off its body ended in a traceback; that a request body could arrive for ever; that a 413 could be lost to a reset; and that uvicorn logged and exited by itself when its port was in use.

--- a/src/hibiscushaven/delivery/client.py
+++ b/src/hibiscushaven/delivery/client.py
@@ -29,6 +29,7 @@
 _BODILESS_STATUSES = frozenset({204, 304})
 _MAX_CONTROL_BYTES = 16 * 1024
 _DEFAULT_CONNECTIONS = 64
+_NOT_FOUND = 404
 # Set by the client itself; a caller's value would contradict it.
 _OWN_REQUEST_HEADERS = frozenset(
     {"content-length", "expect", "attempt-id", "request-deadline-ms", "start-by"}
@@ -51,6 +52,9 @@
     control: float = 1.0
 
 
+_NOT_FOUND = 404
+
+
 class BackendClient:
     """Sends attempts to backend servers, each on connections of its own tenant and server.
 
@@ -110,11 +114,19 @@
             raise
         return head
 
-    async def cancel(self, server: Endpoint, attempt_id: str, tenant: str = "") -> bool:
-        """Ask a backend server to stop an attempt; return whether it confirmed."""
+    async def cancel(
+        self, server: Endpoint, attempt_id: str, tenant: str = "", has_answered: bool = False
+    ) -> bool:
+        """Ask a backend server to stop an attempt; return whether it has stopped.
+
+        :param has_answered: whether the head of the response has arrived. An attempt that the
+            server does not know then has ended; otherwise it may still be on its way.
+        """
         path = "/-/attempts/" + quote(attempt_id, safe="")
         answer = await self.call_control(server, "DELETE", path, tenant)
-        return answer is not None and answer[0] < 300
+        if answer is None:
+            return False
+        return answer[0] < 300 or (has_answered and answer[0] == _NOT_FOUND)
 
     async def call_control(
         self, server: Endpoint, method: str, path: str, tenant: str = ""
--- a/src/hibiscushaven/entry/classify.py
+++ b/src/hibiscushaven/entry/classify.py
@@ -14,7 +14,7 @@
 __all__ = ["classify"]
 
 _MAX_KEY_LENGTH = 255
-_RETRY_UNKNOWN_SERVICE_S = 2.0
+_MAX_DECODINGS = 4
 
 
 def classify(
@@ -47,10 +47,18 @@
 def _is_reserved(path: str) -> bool:
     """Return whether a path could reach a backend server's control endpoints.
 
-    Backend servers may decode or normalize a path once more, so the check does too.
+    Backend servers may decode or normalize a path in ways of their own, so a path that is
+    reserved in one of the common ways is refused.
     """
-    segments = unquote(path).split("/")
-    return "-" in segments[:2] or any(part in (".", "..") for part in segments) or "\\" in path
+    decoded = path
+    for _ in range(_MAX_DECODINGS):
+        path, decoded = decoded, unquote(decoded)
+    if decoded != path or "\\" in decoded:
+        return True
+    # Some servers cut path parameters, and most take repeated slashes for one.
+    parts = [part.partition(";")[0] for part in decoded.split("/")]
+    named = [part for part in parts if part]
+    return named[:1] == ["-"] or any(part in (".", "..") for part in named)
 
 
 def _find_caller(entry: CatalogEntry, token: str | None) -> Caller | None:
--- a/src/hibiscushaven/entry/http_server.py
+++ b/src/hibiscushaven/entry/http_server.py
@@ -2,12 +2,18 @@
 
 import asyncio
 import contextlib
+import os
+import socket
 
 import uvicorn
 from starlette.applications import Starlette
 
+from hibiscushaven.ini.fields import Endpoint
+
 __all__ = ["HttpServer"]
 
+_BACKLOG = 2048
+
 
 class _QuietServer(uvicorn.Server):
     """A server that leaves signals to the daemon."""
@@ -38,14 +44,23 @@
             server_header=False,
         )
         self._server = _QuietServer(config)
+        self._socket: socket.socket | None = None
         self._task: asyncio.Task[None] | None = None
 
+    @property
+    def port(self) -> int:
+        """The port, which is chosen at the start if it was given as 0."""
+        return self._socket.getsockname()[1] if self._socket else self._server.config.port
+
     async def start(self) -> None:
         """Start listening.
 
         :raises OSError: when the address cannot be used.
         """
-        self._task = asyncio.create_task(self._serve())
+        config = self._server.config
+        # uvicorn logs an address that it cannot use and ends the process.
+        self._socket = _bind(config.host, config.port)
+        self._task = asyncio.create_task(self._server.serve(sockets=[self._socket]))
         while not self._server.started:
             if self._task.done():
                 self._task.result()
@@ -61,9 +76,11 @@
         if self._task is not None:
             await self._task
 
-    async def _serve(self) -> None:
-        try:
-            await self._server.serve()
-        except SystemExit as error:
-            config = self._server.config
-            raise OSError(f"cannot listen on {config.host}:{config.port}") from error
+
+def _bind(host: str, port: int) -> socket.socket:
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    try:
+        return socket.create_server((host, port), family=family, backlog=_BACKLOG)
+    except OSError as error:
+        reason = os.strerror(error.errno) if error.errno else str(error)
+        raise OSError(error.errno, f"cannot listen on {Endpoint(host, port)}: {reason}") from error
--- a/src/hibiscushaven/entry/requests.py
+++ b/src/hibiscushaven/entry/requests.py
@@ -1,6 +1,6 @@
 """A caller's request and its answer, apart from HTTP."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterable, Awaitable, Callable
 from dataclasses import dataclass
 
 from hibiscushaven.delivery import Outcome
@@ -47,11 +47,20 @@
         return self.caller.name if self.caller is not None else "anonymous"
 
 
+async def _close_nothing() -> None:
+    return None
+
+
 @dataclass(frozen=True, slots=True)
 class CallerAnswer:
-    """The answer of a backend server; the body may still be arriving."""
+    """The answer of a backend server; the body may still be arriving.
+
+    :ivar close: frees what the answer holds, such as a slot; whoever has the answer calls it,
+        also when the body was never read.
+    """
 
     status: int
     headers: tuple[tuple[str, str], ...]
-    body: AsyncIterator[bytes]
+    body: AsyncIterable[bytes]
     outcome: Outcome = Outcome.RUN
+    close: Callable[[], Awaitable[None]] = _close_nothing
--- a/src/hibiscushaven/entry/router.py
+++ b/src/hibiscushaven/entry/router.py
@@ -74,37 +74,20 @@
             await self._settle(claim, result.error)
             return result
         answer = result.ok
-        body = answer.body
-        parts: list[bytes] = []
+        body = _ClaimedBody(self._claims, claim, answer)
         try:
-            async for chunk in body:
-                parts.append(chunk)
-                if sum(map(len, parts)) > _CLAIMED_BUFFER_BYTES:
-                    rest = self._pass_claimed(claim, parts, body)
-                    return Ok(CallerAnswer(answer.status, answer.headers, rest))
+            is_whole = await body.read_ahead(_CLAIMED_BUFFER_BYTES)
         except (AttemptError, RelayError) as error:
-            await self._claims.complete(claim, ClaimOutcome.UNKNOWN, None)
+            await body.close()
             return Error(Problem(502, "incomplete answer", str(error), Outcome.UNKNOWN.value))
-        whole = b"".join(parts)
+        if not is_whole:
+            return Ok(CallerAnswer(answer.status, answer.headers, body, close=body.close))
         kept = tuple(pair for pair in answer.headers if pair[0].lower() in _PASSED_HEADERS)
-        kept_answer = Answer(answer.status, kept, whole)
-        await self._claims.complete(claim, ClaimOutcome.RUN, kept_answer)
+        whole = body.take()
+        await self._claims.complete(claim, ClaimOutcome.RUN, Answer(answer.status, kept, whole))
+        await answer.close()
         return Ok(CallerAnswer(answer.status, answer.headers, _once(whole)))
 
-    async def _pass_claimed(
-        self, claim: Claim, parts: list[bytes], body: AsyncIterator[bytes]
-    ) -> AsyncIterator[bytes]:
-        is_complete = False
-        try:
-            for part in parts:
-                yield part
-            async for chunk in body:
-                yield chunk
-            is_complete = True
-        finally:
-            outcome = ClaimOutcome.RUN if is_complete else ClaimOutcome.UNKNOWN
-            await self._claims.complete(claim, outcome, None)
-
     async def _settle(self, claim: Claim, problem: Problem) -> None:
         """Release a claim whose request was not run; record that nothing is known otherwise."""
         if problem.outcome == Outcome.NOT_RUN.value:
@@ -144,6 +127,49 @@
         return error.outcome is Outcome.NOT_RUN or item.request_class.is_idempotent
 
 
+class _ClaimedBody:
+    """Body of a claimed request's answer; the claim ends with it."""
+
+    def __init__(self, claims: ClaimKeeper, claim: Claim, answer: CallerAnswer) -> None:
+        self._claims = claims
+        self._claim = claim
+        self._answer = answer
+        self._rest = aiter(answer.body)
+        self._parts: list[bytes] = []
+        self._is_ended = False
+
+    async def read_ahead(self, limit: int) -> bool:
+        """Read up to a limit in bytes, or a chunk more; return whether that is all."""
+        size = 0
+        async for chunk in self._rest:
+            self._parts.append(chunk)
+            size += len(chunk)
+            if size > limit:
+                return False
+        return True
+
+    def take(self) -> bytes:
+        """Return what was read."""
+        return b"".join(self._parts)
+
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        for part in self._parts:
+            yield part
+        async for chunk in self._rest:
+            yield chunk
+        await self._end(ClaimOutcome.RUN)
+
+    async def close(self) -> None:
+        """End the claim; the outcome is unknown unless the body was read to its end."""
+        await self._end(ClaimOutcome.UNKNOWN)
+        await self._answer.close()
+
+    async def _end(self, outcome: ClaimOutcome) -> None:
+        if not self._is_ended:
+            self._is_ended = True
+            await self._claims.complete(self._claim, outcome, None)
+
+
 async def _once(data: bytes) -> AsyncIterator[bytes]:
     yield data
 
--- a/src/hibiscushaven/entry/routes.py
+++ b/src/hibiscushaven/entry/routes.py
@@ -3,7 +3,6 @@
 import asyncio
 import logging
 import random
-from collections.abc import AsyncIterator
 
 from hibiscushaven.delivery import (
     AttemptError,
@@ -11,7 +10,6 @@
     RelayClient,
     RelayError,
     RelayRequest,
-    RelayResponse,
     Responder,
 )
 from hibiscushaven.dispatch import Work
@@ -25,7 +23,7 @@
 from .owners import ShardOwners
 from .problems import Problem
 from .requests import CallerAnswer, ClassifiedRequest
-from .shard_runner import BackendAnswer, Job, WorkRefusedError
+from .shard_runner import Job, WorkRefusedError
 from .steering import Steering
 
 __all__ = ["Routes"]
@@ -119,6 +117,8 @@
         except (AttemptError, RelayError) as error:
             await responder.fail(Outcome.UNKNOWN, str(error), 1.0)
             return
+        finally:
+            await answer.close()
         await responder.end()
 
     async def _pass(self, request: RelayRequest, deadline: float, is_long: bool) -> CallerAnswer:
@@ -144,7 +144,7 @@
         except RelayError as error:
             is_lost = error.retry_after_s is None
             raise RouteError(error.outcome, error.reason, error.retry_after_s, is_lost) from error
-        return CallerAnswer(response.status, response.headers, _read_relayed(response))
+        return CallerAnswer(response.status, response.headers, response, close=response.close)
 
     async def _run(self, request: RelayRequest, deadline: float) -> CallerAnswer:
         shard = self._owners.pick_owned_shard(request.service, self._rng)
@@ -160,7 +160,7 @@
         except WorkRefusedError as error:
             is_lost = error.reason == _OWNER_CHANGED
             raise RouteError(error.outcome, error.reason, error.retry_after_s, is_lost) from error
-        return CallerAnswer(answer.status, answer.headers, _read_backend(answer))
+        return CallerAnswer(answer.status, answer.headers, answer, close=answer.close)
 
     def _work(self, request: RelayRequest, deadline: float) -> Work | None:
         entry = self._catalog.get(request.service)
@@ -181,19 +181,3 @@
             is_foreign=attributes.get("from") != self._neighbours.domain,
             path=request.target.partition("?")[0],
         )
-
-
-async def _read_backend(answer: BackendAnswer) -> AsyncIterator[bytes]:
-    try:
-        async for chunk in answer:
-            yield chunk
-    finally:
-        await answer.close()
-
-
-async def _read_relayed(response: RelayResponse) -> AsyncIterator[bytes]:
-    try:
-        async for chunk in response:
-            yield chunk
-    finally:
-        await response.close()
--- a/src/hibiscushaven/entry/shard_runner.py
+++ b/src/hibiscushaven/entry/shard_runner.py
@@ -86,12 +86,14 @@
         head: AttemptHead,
         buffered: bytes | None,
         on_end: Callable[[AttemptResult], None],
+        on_close: Callable[[], None],
     ) -> None:
         self.status = head.status
         self.headers = head.headers
         self._head = head
         self._buffered = buffered
         self._on_end = on_end
+        self._on_close = on_close
 
     async def __aiter__(self) -> AsyncIterator[bytes]:
         """Yield the body; return only if it was complete.
@@ -113,6 +115,7 @@
         """Give up the rest of the body, if there is one."""
         if self._buffered is None:
             await self._head.close()
+        self._on_close()
 
 
 @dataclass(slots=True)
@@ -297,7 +300,10 @@
             self._spawn(self._abandon(attempt))
             return
         answer = BackendAnswer(
-            attempt.head, attempt.buffered, lambda result: self._end(attempt, result)
+            attempt.head,
+            attempt.buffered,
+            lambda result: self._end(attempt, result),
+            lambda: self._give_up(attempt),
         )
         attempt.job.answer.set_result(answer)
 
@@ -330,6 +336,12 @@
             attempt.buffered = await head.read(BUFFERED_BYTES)
             self._end(attempt, AttemptResult(ResultKind.SUCCESS, head.bytes_received))
 
+    def _give_up(self, attempt: _Attempt) -> None:
+        """Cancel an attempt whose body is wanted no more, so that its slot becomes free."""
+        if not attempt.is_ended:
+            work_id = attempt.job.work.id
+            self._carry_out(self._dispatcher.cancel(self._clock.now(), work_id))
+
     async def _abandon(self, attempt: _Attempt) -> None:
         """Stop an attempt and ask its backend server whether it stopped."""
         if attempt.is_ended:
@@ -339,7 +351,10 @@
         is_stopped = True
         if attempt.is_sent:
             is_stopped = await self._client.cancel(
-                attempt.server.address, attempt.start.attempt_id, attempt.job.work.tenant
+                attempt.server.address,
+                attempt.start.attempt_id,
+                attempt.job.work.tenant,
+                has_answered=attempt.head is not None,
             )
         self._end(attempt, AttemptResult(ResultKind.CANCELLED, 0, is_stopped))
 
