Explain failures of commands in one line, and stop the demo in order

Cause: a port in use, a document that is not UTF-8, the weak ETag of a redacted document and an answer that is no JSON ended commands in a traceback; log fields with lists and tracebacks could hold bearer tokens; the client took a problem of the service for one of the system, and asked VMs that refuse connections without a pause; Ctrl-C reached every process of the demo, so that the SIGTERM that followed was the second signal and ended entry VMs without handing over; a process that ended early was noticed only after the documents were loaded.

Ruled out: process groups of their own for the demo's processes, since a process that is started with SIGINT ignored can go on ignoring it.

Change: one line and an exit code for each of these; whole log lines are redacted; the demo script watches its processes from the start, names the one that ended, signals entry VMs first and by process id, and waits for them before it signals the others.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -4,38 +4,95 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 deployment=${1:-examples/retalho_sul.ini}
+if [[ ! -f $deployment ]]; then
+    echo "error: $deployment: no such deployment file" >&2
+    exit 2
+fi
 logs=$(mktemp -d)
-pids=()
+# Seconds for entry VMs to hand over and leave, and then for the other processes to end.
+leave_s=45
+end_s=5
+# Process ids by group; a background process of this shell keeps its id until it is waited for.
+entries=()
+others=()
+loader=
+declare -A names=()
+
+# Sends SIGTERM to processes of this script, waits for them, and kills those that remain.
+end_all() {
+    local limit=$1 pid
+    shift
+    for pid in "$@"; do kill -TERM "$pid" 2>/dev/null || true; done
+    local end=$((SECONDS + limit))
+    for pid in "$@"; do
+        while kill -0 "$pid" 2>/dev/null && ((SECONDS < end)); do sleep 0.1; done
+        if kill -KILL "$pid" 2>/dev/null; then echo "killed ${names[$pid]}" >&2; fi
+        wait "$pid" 2>/dev/null || true
+    done
+}
 
 stop() {
-    trap - INT TERM EXIT
-    # Entry VMs first, so that they hand over while their backend servers still run.
-    for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
-    for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+    local code=$?
+    trap '' INT TERM
+    trap - EXIT
+    if [[ -n $loader ]]; then end_all "$end_s" "$loader"; fi
+    if ((${#entries[@]})); then
+        echo "Stopping: entry VMs hand over first, which takes some seconds."
+        end_all "$leave_s" "${entries[@]}"
+    fi
+    if ((${#others[@]})); then end_all "$end_s" "${others[@]}"; fi
     rm -rf "$logs"
+    echo "Stopped."
+    exit "$code"
 }
 trap stop EXIT
 trap 'exit 0' INT TERM
 
+# Starts a process in the background. SIGINT is ignored there, as a shell does for background
+# processes, so that Ctrl-C reaches this script alone and entry VMs stop before the others.
 start() {
     local name=$1
     shift
     hibiscushaven "$@" >"$logs/$name" 2>&1 &
-    pids+=($!)
+    names[$!]=$name
+}
+
+report_end() {
+    echo "error: process ${names[$1]} ended early; its last lines:" >&2
+    tail -n 5 "$logs/${names[$1]}" >&2
 }
 
 hibiscushaven standin describe --deployment "$deployment" >"$logs/describe"
 start platform standin platform --deployment "$deployment"
+others+=($!)
 while read -r kind name _; do
     case $kind in
-        failure_domain) start "backends-$name" standin backend --deployment "$deployment" --failure-domain "$name" ;;
-        vm) start "entry-$name" entry --settings "$deployment" --vm "$name" ;;
+        failure_domain)
+            start "backends-$name" standin backend \
+                --deployment "$deployment" --failure-domain "$name"
+            others+=($!)
+            ;;
+        vm)
+            start "entry-$name" entry --settings "$deployment" --vm "$name"
+            entries+=($!)
+            ;;
     esac
 done <"$logs/describe"
-hibiscushaven standin load --deployment "$deployment"
+echo "Started ${#entries[@]} entry VMs and ${#others[@]} processes of stand-ins; waiting for them."
+
+hibiscushaven standin load --deployment "$deployment" &
+loader=$!
+names[$loader]=load
+ended=
+wait -n -p ended "$loader" "${entries[@]}" "${others[@]}" && code=0 || code=$?
+if [[ $ended != "$loader" ]]; then
+    report_end "$ended"
+    exit 1
+fi
+loader=
+if ((code)); then exit "$code"; fi
 echo "Logs are in $logs until the demo stops. Press Ctrl-C to stop."
 # The processes run until a signal; one that ends early ends the demo.
-wait -n "${pids[@]}" || true
-echo "a process of the demo ended:" >&2
-tail -n 5 "$logs"/* >&2
+wait -n -p ended "${entries[@]}" "${others[@]}" || true
+report_end "$ended"
 exit 1
--- a/src/hibiscushaven/client/service_client.py
+++ b/src/hibiscushaven/client/service_client.py
@@ -9,7 +9,8 @@
 
 import aiohttp
 
-from hibiscushaven.lookups import LookupAnswer
+from hibiscushaven.ini.fields import Endpoint
+from hibiscushaven.lookups import AnswerError, LookupAnswer
 
 from .errors import AlreadyRunError, CallError, NoEntryError, OutcomeUnknownError, RefusedError
 
@@ -20,6 +21,7 @@
 _SILENCE_S = 5.0
 _DEFAULT_PAUSE_S = 0.2
 _MOST_PAUSE_S = 5.0
+_ALREADY_RUN = (409, "already run")
 _IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE"})
 
 
@@ -95,7 +97,9 @@
         for entry in (*self._kept, *self._shuffled()):
             answer = await self._ask(entry)
             if answer is not None:
-                self._kept = tuple(f"http://{vm.address}:{vm.port}" for vm in answer.entries)
+                self._kept = tuple(
+                    f"http://{Endpoint(vm.address, vm.port)}" for vm in answer.entries
+                )
                 self._kept_until = now + answer.keep_s
                 return self._kept
         if self._kept:
@@ -135,6 +139,8 @@
                             raise error
                         await asyncio.sleep(result.pause_s * self._rng.uniform(1.0, 1.2))
                     self._kept_until = 0.0
+                    # Without a pause, VMs that refuse connections would be asked all the time.
+                    await asyncio.sleep(_DEFAULT_PAUSE_S * self._rng.uniform(1.0, 1.2))
         except TimeoutError as timeout:
             if sent.may_have_run:
                 detail = f"no answer within {timeout_s:g} s; last: {error}"
@@ -164,7 +170,8 @@
             return _Failure(OutcomeUnknownError(str(error)), not sent.is_repeatable, 0.0)
         if "problem+json" not in answer.get("content-type", ""):
             return Reply(response.status, answer, data, tries)
-        return _failure(response.status, answer, data, sent, may_have_run_before)
+        failure = _failure(response.status, answer, data, sent, may_have_run_before)
+        return failure or Reply(response.status, answer, data, tries)
 
     def _open(self) -> aiohttp.ClientSession:
         if self._session is None:
@@ -188,7 +195,7 @@
                 if response.status != 200:
                     return None
                 return LookupAnswer.from_json(await response.read())
-        except (aiohttp.ClientError, OSError, TimeoutError):
+        except (aiohttp.ClientError, OSError, TimeoutError, AnswerError):
             return None
 
     def _shuffled(self) -> list[str]:
@@ -220,9 +227,17 @@
 
 def _failure(
     status: int, headers: dict[str, str], body: bytes, sent: _Sent, may_have_run_before: bool
-) -> _Failure:
-    """Return what a problem of an entry VM means for the next try."""
-    problem = json.loads(body)
+) -> _Failure | None:
+    """Return what a problem of an entry VM means for the next try.
+
+    The result is ``None`` for a problem that the service itself answered with.
+    """
+    try:
+        problem = json.loads(body)
+    except ValueError:
+        problem = None
+    if not isinstance(problem, dict):
+        problem = {}
     detail = f"{problem.get('title')}: {problem.get('detail')}"
     pause_s = min(float(problem.get("retry_after_s") or _DEFAULT_PAUSE_S), _MOST_PAUSE_S)
     if headers.get("request-outcome") == "not-run":
@@ -230,6 +245,8 @@
         is_final = 400 <= status < 500 and status != 429
         return _Failure(RefusedError(status, detail), is_final, pause_s)
     if headers.get("request-outcome") == "run":
+        if (status, problem.get("title")) != _ALREADY_RUN:
+            return None
         return _Failure(AlreadyRunError(detail), True, pause_s)
     is_settled = status == 409 and problem.get("retry_after_s") is None
     is_final = not sent.is_repeatable or is_settled
--- a/src/hibiscushaven/commands/calls.py
+++ b/src/hibiscushaven/commands/calls.py
@@ -5,6 +5,8 @@
 
 import click
 
+from hibiscushaven.ini.fields import Endpoint
+
 from .client import call, entry_options, is_json_option
 from .output import EXIT_REFUSED, EXIT_USAGE, fail, print_json, print_table
 
@@ -26,7 +28,7 @@
         return
     click.echo(f"revision {found['revision']}, keep for {found['keep_s']:g} s")
     rows = (
-        (f"{item['address']}:{item['port']}", item["region"], item["failure_domain"])
+        (str(Endpoint(item["address"], item["port"])), item["region"], item["failure_domain"])
         for item in found["entries"]
     )
     print_table(("ENTRY VM", "REGION", "FAILURE DOMAIN"), rows)
@@ -35,7 +37,7 @@
 @click.command()
 @click.argument("service")
 @click.argument("path")
-@click.option("--method", default="GET", show_default=True)
+@click.option("--method", default="GET", show_default=True, help="HTTP method.")
 @click.option("--data", help="Request body; @FILE reads a file.")
 @click.option("--key", help="Idempotency key; 'new' makes one and prints it.")
 @click.option("--timeout-ms", type=click.IntRange(1), help="Time that the request may take.")
@@ -52,7 +54,12 @@
     entry_url: str,
     token_file: str | None,
 ) -> None:
-    """Send a request to a service and print the answer."""
+    """Send a request to a service and print the answer.
+
+    A request that is not idempotent needs --key; sending it again with the same key returns
+    the result of the first run. Exit code 1 means a refusal or an error status; the outcome
+    (run, not-run or unknown) goes to standard error.
+    """
     headers = {}
     if key is not None:
         headers["Idempotency-Key"] = secrets.token_hex(16) if key == "new" else key
@@ -68,11 +75,28 @@
     if not answer.is_ok and answer.headers.get("content-type") == "application/problem+json":
         outcome = answer.headers.get("request-outcome", "unknown")
         fail(f"{answer.explain()}\noutcome: {outcome}")
-    click.echo(answer.body, nl=False)
+    _print_body(answer.body)
     if not answer.is_ok:
         sys.exit(EXIT_REFUSED)
 
 
+def _print_body(body: bytes) -> None:
+    """Print a body; a terminal gets the size of one that is not text."""
+    is_text = all(byte >= 0x20 or byte in b"\t\r\n" for byte in body) and _is_utf8(body)
+    if sys.stdout.isatty() and not is_text:
+        click.echo(f"{len(body)} bytes that are not text; redirect them to a file")
+        return
+    click.echo(body, nl=False)
+
+
+def _is_utf8(body: bytes) -> bool:
+    try:
+        body.decode()
+    except UnicodeDecodeError:
+        return False
+    return True
+
+
 def _body(data: str | None) -> bytes | None:
     if data is None:
         return None
--- a/src/hibiscushaven/commands/client.py
+++ b/src/hibiscushaven/commands/client.py
@@ -34,14 +34,20 @@
         return self.status < 400
 
     def json(self) -> Any:
-        return json.loads(self.body)
+        """Return the JSON value of the body; end the command if it is none."""
+        try:
+            return json.loads(self.body)
+        except ValueError:
+            fail("the answer is no JSON; is the address that of an entry VM?")
 
     def explain(self) -> str:
         """Return the reason of a refused call in one or more lines."""
         try:
-            problem = self.json()
+            problem = json.loads(self.body)
         except ValueError:
             return f"status {self.status}"
+        if not isinstance(problem, dict):
+            return f"status {self.status}"
         lines = [f"{problem.get('title', 'refused')} (status {self.status})"]
         lines += [problem["detail"]] if problem.get("detail") else []
         lines += [f"  {_problem_line(item)}" for item in problem.get("problems", ())]
@@ -105,8 +111,15 @@
 
 def _token(token_file: str | None) -> str:
     if token_file is not None:
-        return Path(token_file).read_text(encoding="utf-8").strip()
-    return os.environ.get("HIBISCUSHAVEN_TOKEN", "")
+        try:
+            token = Path(token_file).read_text(encoding="utf-8").strip()
+        except (OSError, UnicodeDecodeError):
+            fail(f"--token-file {token_file}: expected a text file", EXIT_USAGE)
+    else:
+        token = os.environ.get("HIBISCUSHAVEN_TOKEN", "")
+    if not token.isascii() or not token.isprintable():
+        fail("the token: expected printable ASCII characters in one line", EXIT_USAGE)
+    return token
 
 
 async def _call(url: str, method: str, body: bytes | None, headers: dict[str, str]) -> Answer:
--- a/src/hibiscushaven/commands/document.py
+++ b/src/hibiscushaven/commands/document.py
@@ -9,7 +9,7 @@
 from hibiscushaven.documents.diff import diff_documents
 
 from .client import Answer, call, entry_options, is_json_option
-from .output import fail, fail_with_problems, print_json, print_table
+from .output import EXIT_USAGE, fail, fail_with_problems, print_json, print_table
 
 __all__ = ["document"]
 
@@ -40,9 +40,9 @@
 def get(service: str, entry_url: str, token_file: str | None, is_json: bool) -> None:
     """Print the document of a service; its revision goes to standard error."""
     answer = _checked(call(entry_url, token_file, "GET", f"/v1/documents/{service}"))
-    revision = answer.headers.get("etag", "").strip('"')
+    revision = _revision(answer)
     if is_json:
-        print_json({"revision": int(revision), "text": answer.body.decode()})
+        print_json({"revision": revision, "text": answer.body.decode()})
         return
     click.echo(f"revision {revision}", err=True)
     click.echo(answer.body, nl=False)
@@ -69,7 +69,7 @@
     headers = {"If-Match": f'"{if_revision}"'} if if_revision else {}
     body = Path(path).read_bytes()
     answer = call(entry_url, token_file, "PUT", f"/v1/documents/{service}", body, headers)
-    revision = int(_checked(answer).headers["etag"].strip('"'))
+    revision = _revision(_checked(answer))
     if is_json:
         print_json({"revision": revision})
     else:
@@ -142,11 +142,22 @@
     try:
         source = Path(path).read_text(encoding="utf-8")
     except UnicodeDecodeError:
-        fail(f"{path}: not a text in UTF-8")
+        fail(f"{path}: not a text in UTF-8", EXIT_USAGE)
+    except OSError as error:
+        fail(f"{path}: {error.strerror}", EXIT_USAGE)
     result = parse_document(source)
     return result.error if result.is_error() else ()
 
 
+def _revision(answer: Answer) -> int:
+    """Return the revision in the ETag, which is a weak one for a redacted document."""
+    tag = answer.headers.get("etag", "")
+    digits = tag.removeprefix("W/").strip('"')
+    if not digits.isdecimal():
+        fail(f"ETag {tag!r}: expected the revision of a document")
+    return int(digits)
+
+
 def _checked(answer: Answer) -> Answer:
     if not answer.is_ok:
         fail(answer.explain())
--- a/src/hibiscushaven/commands/loading.py
+++ b/src/hibiscushaven/commands/loading.py
@@ -6,6 +6,7 @@
 import aiohttp
 import click
 
+from hibiscushaven.ini.fields import Endpoint
 from hibiscushaven.settings import Deployment, Settings
 
 __all__ = ["load_documents", "print_usage"]
@@ -75,7 +76,9 @@
     path = _demo_path(service)
     click.echo("Try:")
     click.echo(f"  hibiscushaven lookup {service} {entry}")
-    click.echo(f"  HIBISCUSHAVEN_TOKEN={caller} hibiscushaven request {service} {path} {entry}")
+    click.echo(
+        f"  HIBISCUSHAVEN_TOKEN={caller} hibiscushaven request {service} {path} --include {entry}"
+    )
     click.echo(f"  HIBISCUSHAVEN_TOKEN={team} hibiscushaven document status {service} {entry}")
 
 
@@ -88,4 +91,4 @@
 
 
 def _url(vm: Settings) -> str:
-    return f"http://{vm.host}:{vm.http_port}"
+    return f"http://{Endpoint(vm.host, vm.http_port)}"
--- a/src/hibiscushaven/commands/output.py
+++ b/src/hibiscushaven/commands/output.py
@@ -1,13 +1,22 @@
 """What commands print, and how they end."""
 
+import contextlib
 import json
 import sys
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from typing import Any, NoReturn
 
 import click
 
-__all__ = ["EXIT_REFUSED", "EXIT_USAGE", "fail", "fail_with_problems", "print_json", "print_table"]
+__all__ = [
+    "EXIT_REFUSED",
+    "EXIT_USAGE",
+    "fail",
+    "fail_with_problems",
+    "listen_errors",
+    "print_json",
+    "print_table",
+]
 
 EXIT_REFUSED = 1
 EXIT_USAGE = 2
@@ -33,6 +42,15 @@
     sys.exit(code)
 
 
+@contextlib.contextmanager
+def listen_errors() -> Iterator[None]:
+    """End the command with one line if an address cannot be used."""
+    try:
+        yield
+    except OSError as error:
+        fail(error.strerror or str(error))
+
+
 def fail_with_problems(path: str, problems: Iterable[Any], code: int = EXIT_REFUSED) -> NoReturn:
     """Print every problem of a file and exit."""
     for problem in problems:
--- a/src/hibiscushaven/commands/standin.py
+++ b/src/hibiscushaven/commands/standin.py
@@ -1,29 +1,35 @@
 """Commands that run stand-ins of outside systems, and load a deployment of them."""
 
 import asyncio
+import contextlib
 import hashlib
 import sys
+from collections.abc import Coroutine
 from pathlib import Path
+from typing import Any
 
 import click
 
 from hibiscushaven.documents import ServiceDocument, parse_document
 from hibiscushaven.documents.rows import TeamRow, TeamToken
+from hibiscushaven.entry import on_stop
 from hibiscushaven.platform import MemoryPlatform, Write
 from hibiscushaven.settings import Deployment, load_deployment
 from hibiscushaven.standins import run_platform
 
 from .backends import run_document_backends
 from .loading import load_documents
-from .output import EXIT_USAGE, fail_with_problems
+from .output import EXIT_USAGE, fail, fail_with_problems, listen_errors
 
 __all__ = ["deployment_option", "open_deployment", "parse_files", "preloaded_platform", "standin"]
 
-deployment_option = click.option(
-    "--deployment",
-    "deployment_path",
-    type=click.Path(exists=True, dir_okay=False),
-    help="Deployment file, such as examples/retalho_sul.ini.",
+_DEPLOYMENT = {
+    "type": click.Path(exists=True, dir_okay=False),
+    "help": "Deployment file, such as examples/retalho_sul.ini.",
+}
+deployment_option = click.option("--deployment", "deployment_path", **_DEPLOYMENT)
+required_deployment_option = click.option(
+    "--deployment", "deployment_path", required=True, **_DEPLOYMENT
 )
 
 
@@ -33,8 +39,10 @@
 
 
 @standin.command()
-@click.option("--host", default="127.0.0.1", show_default=True)
-@click.option("--port", type=click.IntRange(1, 65535), default=7000, show_default=True)
+@click.option("--host", default="127.0.0.1", show_default=True, help="IP number to listen on.")
+@click.option(
+    "--port", type=click.IntRange(1, 65535), default=7000, show_default=True, help="Port."
+)
 @deployment_option
 def platform(host: str, port: int, deployment_path: str | None) -> None:
     """Run a platform in memory, with the VMs and teams of a deployment if one is given."""
@@ -43,11 +51,18 @@
         deployment = open_deployment(deployment_path)
         memory = preloaded_platform(deployment)
         host, port = deployment.platform_endpoint
-    asyncio.run(run_platform(host, port, memory))
+    with listen_errors():
+        asyncio.run(run_until_stopped(run_platform(host, port, memory)))
 
 
 @standin.command()
-@click.option("--document", "paths", multiple=True, type=click.Path(exists=True, dir_okay=False))
+@click.option(
+    "--document",
+    "paths",
+    multiple=True,
+    type=click.Path(exists=True, dir_okay=False),
+    help="Document whose backend servers are run; may be repeated.",
+)
 @deployment_option
 @click.option("--failure-domain", help="Only the backend servers of this failure domain.")
 def backend(
@@ -59,11 +74,16 @@
     if not paths:
         raise click.UsageError("give --document or --deployment")
     documents = parse_files(paths)
-    asyncio.run(run_document_backends(documents, failure_domain))
+    domains = {place.failure_domain for item in documents for place in item.places}
+    if failure_domain is not None and failure_domain not in domains:
+        allowed = "one of " + ", ".join(sorted(domains))
+        raise click.UsageError(f"--failure-domain {failure_domain!r}: expected {allowed}")
+    with listen_errors():
+        asyncio.run(run_until_stopped(run_document_backends(documents, failure_domain)))
 
 
 @standin.command()
-@deployment_option
+@required_deployment_option
 def describe(deployment_path: str) -> None:
     """Print the failure domains and VMs of a deployment, one a line."""
     deployment = open_deployment(deployment_path)
@@ -74,7 +94,7 @@
 
 
 @standin.command()
-@deployment_option
+@required_deployment_option
 def load(deployment_path: str) -> None:
     """Wait for a deployment to start, put its documents in force and print how to use it."""
     deployment = open_deployment(deployment_path)
@@ -82,6 +102,14 @@
         sys.exit(1)
 
 
+async def run_until_stopped(work: Coroutine[Any, Any, None]) -> None:
+    """Run work until it ends, or until SIGTERM or Ctrl-C."""
+    task = asyncio.create_task(work)
+    on_stop(task.cancel)
+    with contextlib.suppress(asyncio.CancelledError):
+        await task
+
+
 def open_deployment(path: str) -> Deployment:
     """Return a deployment; end the command if its file or a document is wrong."""
     result = load_deployment(path)
@@ -95,7 +123,11 @@
     """Return documents; end the command at the first file with problems."""
     documents = []
     for path in paths:
-        parsed = parse_document(Path(path).read_text(encoding="utf-8"))
+        try:
+            source = Path(path).read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as error:
+            fail(f"{path}: {error}", EXIT_USAGE)
+        parsed = parse_document(source)
         if parsed.is_error():
             fail_with_problems(path, parsed.error, EXIT_USAGE)
         documents.append(parsed.ok)
--- a/src/hibiscushaven/entry/__init__.py
+++ b/src/hibiscushaven/entry/__init__.py
@@ -1,6 +1,6 @@
-"""The daemon of one entry VM."""
+"""Daemon of one entry VM."""
 
-from . import parts
 from .daemon import EntryDaemon, run_entry
+from .signals import on_stop
 
-__all__ = ["EntryDaemon", "parts", "run_entry"]
+__all__ = ["EntryDaemon", "on_stop", "run_entry"]
--- a/src/hibiscushaven/entry/daemon.py
+++ b/src/hibiscushaven/entry/daemon.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import signal
 
 from starlette.applications import Starlette
 
@@ -15,6 +14,7 @@
 from .http_server import HttpServer
 from .node import EntryNode
 from .ports import NodePorts
+from .signals import on_stop
 from .status import StatusInterface
 
 __all__ = ["EntryDaemon", "run_entry"]
@@ -116,9 +116,7 @@
     configure_logs(settings.log.level, settings.log.format, settings.name)
     daemon = EntryDaemon(settings)
     signals = asyncio.Semaphore(0)
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, signals.release)
+    on_stop(signals.release)
     await daemon.start()
     await signals.acquire()
     drain = asyncio.create_task(daemon.drain())
--- a/src/hibiscushaven/logs/setup.py
+++ b/src/hibiscushaven/logs/setup.py
@@ -8,7 +8,7 @@
 
 __all__ = ["RedactingFilter", "configure_logs"]
 
-_SECRET = re.compile(r"(?i)(bearer\s+)[^\s\"']+")
+_SECRET = re.compile(r"(?i)(bearer\s+)[^\s\"'\\]+")
 _STANDARD = frozenset(vars(logging.makeLogRecord({})))
 _TEXT_FORMAT = "%(asctime)s %(levelname)s %(name)s %(message)s"
 
@@ -34,6 +34,13 @@
         return True
 
 
+class _RedactingJsonFormatter(JsonFormatter):
+    """Redacts whole lines, since fields may hold lists and tracebacks may hold values."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        return _redact(super().format(record))
+
+
 class _TextFormatter(logging.Formatter):
     def format(self, record: logging.LogRecord) -> str:
         fields = [
@@ -41,7 +48,7 @@
             for key, value in vars(record).items()
             if key not in _STANDARD and key not in ("message", "asctime")
         ]
-        return " ".join((super().format(record), *fields))
+        return _redact(" ".join((super().format(record), *fields)))
 
 
 def configure_logs(level: str, style: str, vm: str) -> None:
@@ -53,7 +60,7 @@
     """
     handler = logging.StreamHandler(sys.stderr)
     if style == "json":
-        formatter: logging.Formatter = JsonFormatter(
+        formatter: logging.Formatter = _RedactingJsonFormatter(
             "{asctime}{levelname}{name}{message}", style="{", static_fields={"vm": vm}
         )
     else:
