--- a/src/hibiscushaven/entry/__init__.py
+++ b/src/hibiscushaven/entry/__init__.py
@@ -1,6 +1,7 @@
-"""Daemon of one entry VM."""
+"""The daemon of one entry VM."""
 
+from . import parts
 from .daemon import EntryDaemon, run_entry
 from .signals import on_stop
 
-__all__ = ["EntryDaemon", "on_stop", "run_entry"]
+__all__ = ["EntryDaemon", "on_stop", "parts", "run_entry"]
