--- a/src/hibiscushaven/entry/link_desk.py
+++ b/src/hibiscushaven/entry/link_desk.py
@@ -12,8 +12,9 @@
 from .clock import Clock
 from .errors import EntryError
 from .neighbours import Neighbours
+from .requests import CallerAnswer
 
-__all__ = ["LinkDesk", "LinkFullError", "LinkPass", "metered"]
+__all__ = ["LinkDesk", "LinkFullError", "LinkPass", "MeteredBody"]
 
 # Weight of the newest size in the predicted size of a class.
 _NEWEST_WEIGHT = 0.1
@@ -172,15 +173,25 @@
     return "|".join(sorted((one, other)))
 
 
-async def metered(
-    body: AsyncIterator[bytes], link: LinkPass, request_bytes: int
-) -> AsyncIterator[bytes]:
-    """Yield a body within the link's share."""
-    is_complete = False
-    try:
-        async for chunk in body:
-            await link.meter(chunk)
+class MeteredBody:
+    """The body of an answer, read within the link's share."""
+
+    def __init__(self, answer: CallerAnswer, link: LinkPass, request_bytes: int) -> None:
+        self._answer = answer
+        self._link = link
+        self._request_bytes = request_bytes
+        self._is_complete = False
+        self._is_closed = False
+
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        async for chunk in self._answer.body:
+            await self._link.meter(chunk)
             yield chunk
-        is_complete = True
-    finally:
-        link.close(request_bytes, is_complete)
+        self._is_complete = True
+
+    async def close(self) -> None:
+        """Free the answer and its part of the link."""
+        if not self._is_closed:
+            self._is_closed = True
+            self._link.close(self._request_bytes, self._is_complete)
+        await self._answer.close()
--- a/src/hibiscushaven/entry/routes.py
+++ b/src/hibiscushaven/entry/routes.py
@@ -3,17 +3,14 @@
 import asyncio
 import logging
 import random
-from collections.abc import AsyncIterator
 from dataclasses import replace
 
 from hibiscushaven.delivery import (
     AttemptError,
-    CompleteBody,
     Outcome,
     RelayClient,
     RelayError,
     RelayRequest,
-    RelayResponse,
     Responder,
 )
 from hibiscushaven.dispatch import Work
@@ -23,13 +20,13 @@
 
 from .clock import Clock
 from .errors import RouteError
-from .link_desk import LinkDesk, LinkFullError, metered
+from .link_desk import LinkDesk, LinkFullError, MeteredBody
 from .neighbours import Neighbours
 from .owners import ShardOwners
 from .problems import Problem
 from .requests import CallerAnswer, ClassifiedRequest
 from .resuming import run_complete
-from .shard_runner import BackendAnswer, Job, WorkRefusedError
+from .shard_runner import Job, WorkRefusedError
 from .steering import Steering
 
 __all__ = ["Routes"]
@@ -115,7 +112,8 @@
         size = len(request.body)
         with link.closed_on_failure(size):
             answer = await self._pass(relayed, item.deadline, is_long)
-        return replace(answer, body=metered(answer.body, link, size))
+        body = MeteredBody(answer, link, size)
+        return replace(answer, body=body, close=body.close)
 
     async def serve(self, link: PeerLink, request: RelayRequest, responder: Responder) -> None:
         """Serve a relayed request: run it here if this VM owns a shard, else send it on."""
@@ -136,6 +134,8 @@
         except (AttemptError, RelayError) as error:
             await responder.fail(Outcome.UNKNOWN, str(error), 1.0)
             return
+        finally:
+            await answer.close()
         await responder.end()
 
     async def _pass(self, request: RelayRequest, deadline: float, is_long: bool) -> CallerAnswer:
@@ -161,7 +161,7 @@
         except RelayError as error:
             is_lost = error.retry_after_s is None
             raise RouteError(error.outcome, error.reason, error.retry_after_s, is_lost) from error
-        return CallerAnswer(response.status, response.headers, _read_relayed(response))
+        return CallerAnswer(response.status, response.headers, response, close=response.close)
 
     async def _run(self, request: RelayRequest, deadline: float) -> CallerAnswer:
         shard = self._owners.pick_owned_shard(request.service, self._rng)
@@ -177,7 +177,7 @@
         except WorkRefusedError as error:
             is_lost = error.reason == _OWNER_CHANGED
             raise RouteError(error.outcome, error.reason, error.retry_after_s, is_lost) from error
-        return CallerAnswer(answer.status, answer.headers, _read_backend(answer))
+        return CallerAnswer(answer.status, answer.headers, answer, close=answer.close)
 
     def _work(self, request: RelayRequest, deadline: float) -> Work | None:
         entry = self._catalog.get(request.service)
@@ -198,19 +198,3 @@
             is_foreign=attributes.get("from") != self._neighbours.domain,
             path=request.target.partition("?")[0],
         )
-
-
-async def _read_backend(answer: BackendAnswer | CompleteBody) -> AsyncIterator[bytes]:
-    try:
-        async for chunk in answer:
-            yield chunk
-    finally:
-        await answer.close()
-
-
-async def _read_relayed(response: RelayResponse) -> AsyncIterator[bytes]:
-    try:
-        async for chunk in response:
-            yield chunk
-    finally:
-        await response.close()
--- a/src/hibiscushaven/entry/tests/test_link_desk.py
+++ b/src/hibiscushaven/entry/tests/test_link_desk.py
@@ -6,7 +6,8 @@
 import pytest
 
 from hibiscushaven.documents import DocumentCatalog
-from hibiscushaven.entry.link_desk import LinkDesk, LinkFullError, metered
+from hibiscushaven.entry.link_desk import LinkDesk, LinkFullError, MeteredBody
+from hibiscushaven.entry.requests import CallerAnswer
 
 DOCUMENT = """
 [service]
@@ -90,8 +91,10 @@
         async def body():
             yield b"x" * 1000
 
-        link = enter(desk, "b1")
-        return [chunk async for chunk in metered(body(), link, 0)]
+        answer = MeteredBody(CallerAnswer(200, (), body()), enter(desk, "b1"), 0)
+        chunks = [chunk async for chunk in answer]
+        await answer.close()
+        return chunks
 
     for _ in range(100):
         assert len(asyncio.run(pull())) == 1
