--- a/src/hibiscushaven/bench/claims.py
+++ b/src/hibiscushaven/bench/claims.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import statistics
+from collections import Counter
 from dataclasses import dataclass
 
 from hibiscushaven.claims import (
@@ -40,6 +41,7 @@
     :ivar median_ms: median time from asking to the answer.
     :ivar p99_ms: 99th percentile of that time.
     :ivar refused: share of the claims that were refused as not run.
+    :ivar duplicates: runs of work beyond the first of each key.
     """
 
     claims_per_s: float
@@ -49,6 +51,7 @@
     median_ms: float
     p99_ms: float
     refused: float
+    duplicates: int
 
 
 class _Run:
@@ -63,6 +66,7 @@
         self.times: list[float] = []
         self.granted = 0
         self.refused = 0
+        self.runs: Counter[str] = Counter()
 
     async def request(self, key: str) -> None:
         start = self.now()
@@ -74,6 +78,7 @@
         elif isinstance(result.ok, Claim):
             self.granted += 1
             result.ok.mark_sent()
+            self.runs[key] += 1
             await asyncio.sleep(WORK_S)
             await self.keeper.complete(result.ok, Outcome.RUN, Answer(200, (), b"ok"))
 
@@ -99,6 +104,7 @@
         1000 * statistics.median(run.times),
         1000 * sorted(run.times)[int(len(run.times) * 0.99)],
         run.refused / len(tasks),
+        run.runs.total() - len(run.runs),
     )
 
 
--- /dev/null
+++ b/src/hibiscushaven/bench/virtual_nodes.py
@@ -0,0 +1,156 @@
+"""Whole nodes on virtual time, joined in memory, with their messages counted in bytes."""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from hibiscushaven.entry.node import EntryNode
+from hibiscushaven.entry.ports import NodePorts
+from hibiscushaven.ini.fields import Endpoint
+from hibiscushaven.peers import (
+    Lane,
+    Message,
+    PeerIdentity,
+    PeerLink,
+    decode,
+    encode,
+)
+from hibiscushaven.platform import MemoryPlatform, VmEntry, VmState
+from hibiscushaven.settings import Settings
+
+__all__ = ["HTTP_PORT", "PEER_PORT", "Network", "VirtualClock", "make_node", "vm_entry"]
+
+PEER_PORT = 7070
+HTTP_PORT = 8080
+_FRAME_BYTES = 4  # length in front of each message of a stream
+_UNIX_START = 1_700_000_000.0
+
+
+class VirtualClock:
+    """Both clocks of a node on the time of the running loop."""
+
+    def now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def unix(self) -> float:
+        return _UNIX_START + self.now()
+
+
+class Network:
+    """Delivers messages between hubs.
+
+    :ivar sent: bytes by the sender's endpoint; :ivar:`received` by the receiver's.
+    """
+
+    def __init__(self, delay_s: float = 0.001) -> None:
+        self.hubs: dict[Endpoint, _MemoryHub] = {}
+        self.sent: dict[Endpoint, int] = {}
+        self.received: dict[Endpoint, int] = {}
+        self._delay_s = delay_s
+
+    def reset(self) -> None:
+        """Forget the bytes counted so far."""
+        self.sent.clear()
+        self.received.clear()
+
+    def transmit(self, sender: PeerIdentity, to: Endpoint, data: bytes) -> None:
+        size = len(data) + _FRAME_BYTES
+        self.sent[sender.endpoint] = self.sent.get(sender.endpoint, 0) + size
+        hub = self.hubs.get(to)
+        if hub is None:
+            return
+        self.received[to] = self.received.get(to, 0) + size
+        asyncio.get_running_loop().call_later(self._delay_s, hub.deliver, sender, data)
+
+
+@dataclass(frozen=True, slots=True)
+class _MemoryStream:
+    network: Network
+    sender: PeerIdentity
+    to: Endpoint
+
+    def send_nowait(self, item: Message) -> None:
+        self.network.transmit(self.sender, self.to, encode(item))
+
+
+class _MemoryHub:
+    """Stands in for :class:`PeerHub`; carries control messages only."""
+
+    def __init__(self, network: Network, identity: PeerIdentity, handler) -> None:
+        self.identity = identity
+        self._network = network
+        self._handler = handler
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def subscribe(self, kinds: Iterable[type[Message]], handler) -> None:
+        """Relay messages are not carried."""
+
+    def add_close_listener(self, listener: Callable[[PeerLink], None]) -> None:
+        """Connections do not end."""
+
+    async def listen(self) -> None:
+        self._network.hubs[self.identity.endpoint] = self
+
+    async def close(self) -> None:
+        self._network.hubs.pop(self.identity.endpoint, None)
+
+    def open_link(self, endpoint: Endpoint, lane: Lane) -> PeerLink:
+        # VMs of other failure domains have no hub here; what is sent to them counts as well.
+        stream = _MemoryStream(self._network, self.identity, endpoint)
+        return PeerLink(self.identity, lane, stream)
+
+    async def link(self, endpoint: Endpoint, lane: Lane) -> PeerLink:
+        return self.open_link(endpoint, lane)
+
+    def deliver(self, sender: PeerIdentity, data: bytes) -> None:
+        stream = _MemoryStream(self._network, self.identity, sender.endpoint)
+        link = PeerLink(sender, Lane.CONTROL, stream)
+        task = asyncio.ensure_future(self._handler(link, decode(data)))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+class _NoBackends:
+    """Stands in for the client of backend servers, which are not part of the control cost."""
+
+    def __init__(self, connection_limit: Callable[[Endpoint], int]) -> None:
+        self._connection_limit = connection_limit
+
+    async def call_control(self, server: Endpoint, method: str, target: str) -> None:
+        return None
+
+    async def close(self) -> None:
+        return None
+
+
+def vm_entry(domain: int, number: int, domains_per_region: int = 4) -> VmEntry:
+    """Return a VM of a numbered failure domain."""
+    host = f"10.{domain}.{number // 250}.{number % 250 + 1}"
+    region = f"region-{domain // domains_per_region}"
+    name = f"domain-{domain}-vm{number}"
+    return VmEntry(name, f"domain-{domain}", region, host, PEER_PORT, VmState.LIVE, HTTP_PORT)
+
+
+def make_node(
+    entry: VmEntry, platform: MemoryPlatform, network: Network, rng: random.Random
+) -> EntryNode:
+    """Return a node on virtual time that is not started yet."""
+    settings = Settings(
+        entry.name,
+        entry.region,
+        entry.failure_domain,
+        entry.host,
+        HTTP_PORT,
+        PEER_PORT,
+        "http://127.0.0.1:1",
+    )
+    ports = NodePorts(
+        platform,
+        VirtualClock(),
+        rng,
+        lambda: f"{rng.getrandbits(96):024x}",
+        lambda identity, handler: _MemoryHub(network, identity, handler),
+        _NoBackends,
+    )
+    return EntryNode(settings, ports)
