Measure look-ups, proxied requests and memory on real sockets

Cause: no figure of a whole daemon on a socket exists, and no program of the project starts another process. Ruled out: an aiohttp client as the load generator; it is slower than the server that it loads.

--- /dev/null
+++ b/src/hibiscushaven/bench/http_load.py
@@ -0,0 +1,120 @@
+"""Load generator: keep-alive connections that each send the next request after the response."""
+
+import asyncio
+import time
+from dataclasses import dataclass
+
+from hdrh.histogram import HdrHistogram
+
+__all__ = ["LoadResult", "run_load"]
+
+_LONGEST_US = 60_000_000
+_LENGTH = b"content-length:"
+
+
+class LoadError(Exception):
+    """A response that the load generator did not expect."""
+
+
+@dataclass(frozen=True, slots=True)
+class LoadResult:
+    """What a run measured.
+
+    :ivar seconds: wall time of all requests.
+    """
+
+    requests: int
+    seconds: float
+    p50_ms: float
+    p99_ms: float
+
+
+class _Client(asyncio.Protocol):
+    def __init__(self, data: bytes, run: "_Run") -> None:
+        self._data = data
+        self._run = run
+        self._received = b""
+        self._sent_at = 0.0
+        self._transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = transport
+        self._next()
+
+    def data_received(self, data: bytes) -> None:
+        self._received += data
+        head, separator, body = self._received.partition(b"\r\n\r\n")
+        if not separator:
+            return
+        if not head.startswith(b"HTTP/1.1 200"):
+            self._run.fail(f"unexpected response {head[:200]!r}")
+            self._transport.close()
+            return
+        if not _is_complete(head, body):
+            return
+        self._received = b""
+        self._run.record(time.perf_counter() - self._sent_at)
+        self._next()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        if not self._run.is_over:
+            self._run.fail(f"connection lost: {error!r}")
+
+    def _next(self) -> None:
+        if not self._run.take():
+            self._transport.close()
+            return
+        self._sent_at = time.perf_counter()
+        self._transport.write(self._data)
+
+
+def _is_complete(head: bytes, body: bytes) -> bool:
+    for line in head.lower().split(b"\r\n"):
+        if line.startswith(_LENGTH):
+            return len(body) >= int(line[len(_LENGTH) :])
+    return body.endswith(b"0\r\n\r\n")
+
+
+class _Run:
+    def __init__(self, requests: int) -> None:
+        self._left = requests
+        self._open = requests
+        self.times = HdrHistogram(1, _LONGEST_US, 3)
+        self.done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+
+    @property
+    def is_over(self) -> bool:
+        return self.done.done() or self._left <= 0
+
+    def take(self) -> bool:
+        self._left -= 1
+        return self._left >= 0
+
+    def record(self, seconds: float) -> None:
+        self.times.record_value(max(1, int(1e6 * seconds)))
+        self._open -= 1
+        if not self._open and not self.done.done():
+            self.done.set_result(None)
+
+    def fail(self, reason: str) -> None:
+        if not self.done.done():
+            self.done.set_exception(LoadError(reason))
+
+
+async def run_load(
+    host: str, port: int, target: str, requests: int, connections: int
+) -> LoadResult:
+    """Send requests and return when all are answered.
+
+    :raises LoadError: when a response is not 200 or a connection ends early.
+    """
+    loop = asyncio.get_running_loop()
+    run = _Run(requests)
+    data = f"GET {target} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode()
+    started = time.perf_counter()
+    for _ in range(min(connections, requests)):
+        await loop.create_connection(lambda: _Client(data, run), host, port)
+    await run.done
+    seconds = time.perf_counter() - started
+    p50, p99 = (run.times.get_value_at_percentile(item) / 1000 for item in (50, 99))
+    return LoadResult(requests, seconds, p50, p99)
--- /dev/null
+++ b/src/hibiscushaven/bench/sockets.py
@@ -0,0 +1,178 @@
+"""Processes of scripts/bench_sockets.sh: the baseline, backends and the load."""
+
+import asyncio
+import json
+import os
+import statistics
+from collections.abc import Iterator
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+import aiohttp
+import click
+
+from hibiscushaven.entry.http_server import HttpServer
+from hibiscushaven.standins import BackendConfig, BackendStandIn
+
+from .http_load import LoadResult, run_load
+from .local_deployment import free_port
+from .measures import Bound, Finding
+from .pass_through import pass_through_app
+from .socket_entry import HOST, SERVER_HOSTS, SERVICE, SLOTS
+
+__all__ = ["cli", "socket_findings"]
+
+_ROUNDS = 5
+_CONNECTIONS = 16
+_LOOKUP_SHARE = 0.8  # of the requests; the others are proxied
+_READY_LIMIT_S = 30.0
+_PROXIED = f"/v1/services/{SERVICE}/items/42"
+_MB = 1e6
+
+
+@click.group()
+def cli() -> None:
+    """Parts of the measurements on real sockets."""
+
+
+@cli.command()
+@click.argument("count", type=int)
+def ports(count: int) -> None:
+    """Print free ports."""
+    click.echo(" ".join(str(free_port()) for _ in range(count)))
+
+
+@cli.command()
+@click.argument("http_port", type=int)
+@click.argument("server_port", type=int)
+def baseline(http_port: int, server_port: int) -> None:
+    """Serve the pass-through proxy."""
+    asyncio.run(_serve_baseline(http_port, server_port))
+
+
+async def _serve_baseline(http_port: int, server_port: int) -> None:
+    servers = tuple(f"http://{host}:{server_port}" for host in SERVER_HOSTS)
+    async with aiohttp.ClientSession() as session:
+        server = HttpServer(pass_through_app(session, servers), HOST, http_port)
+        await server.start()
+        await asyncio.get_running_loop().create_future()
+
+
+@cli.command()
+@click.argument("server_port", type=int)
+@click.argument("number", type=click.IntRange(0, len(SERVER_HOSTS) - 1))
+def backend(server_port: int, number: int) -> None:
+    """Serve one backend stand-in."""
+    asyncio.run(_serve_backend(server_port, number))
+
+
+async def _serve_backend(server_port: int, number: int) -> None:
+    stand_in = BackendStandIn(BackendConfig(slots=2 * SLOTS, body_bytes=256))
+    await stand_in.start(SERVER_HOSTS[number], server_port)
+    await asyncio.get_running_loop().create_future()
+
+
+@cli.command()
+@click.argument("entry_pid", type=int)
+@click.argument("entry_port", type=int)
+@click.argument("baseline_pid", type=int)
+@click.argument("baseline_port", type=int)
+@click.option("--requests", type=int, default=100_000, show_default=True)
+def drive(
+    entry_pid: int, entry_port: int, baseline_pid: int, baseline_port: int, requests: int
+) -> None:
+    """Load the processes and print findings as JSON, one a line."""
+    ours = _Target(entry_pid, entry_port)
+    plain = _Target(baseline_pid, baseline_port)
+    for item in asyncio.run(_drive(ours, plain, requests)):
+        click.echo(json.dumps(asdict(item)))
+
+
+@dataclass(frozen=True, slots=True)
+class _Target:
+    """A process under load."""
+
+    pid: int
+    port: int
+
+    @property
+    def cpu_s(self) -> float:
+        """Processor time used so far."""
+        parts = Path(f"/proc/{self.pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(parts[11]) + int(parts[12])) / os.sysconf("SC_CLK_TCK")
+
+    @property
+    def memory_mb(self) -> float:
+        """Resident memory."""
+        pages = int(Path(f"/proc/{self.pid}/statm").read_text().split()[1])
+        return pages * os.sysconf("SC_PAGE_SIZE") / _MB
+
+    async def load(self, target: str, requests: int) -> tuple[LoadResult, float]:
+        """Return the result and the requests per second of processor time."""
+        before = self.cpu_s
+        result = await run_load(HOST, self.port, target, requests, _CONNECTIONS)
+        return result, requests / max(0.01, self.cpu_s - before)
+
+
+async def _drive(ours: _Target, plain: _Target, requests: int) -> list[Finding]:
+    for target in (ours, plain):
+        await _until_ready(target.port)
+    idle_mb = ours.memory_mb
+    idle_cpu = ours.cpu_s
+    await asyncio.sleep(3.0)
+    idle_percent = 100 * (ours.cpu_s - idle_cpu) / 3.0
+    lookups = int(requests * _LOOKUP_SHARE / _ROUNDS)
+    proxied = requests // _ROUNDS - lookups
+    looked, carried, passed, memory = [], [], [], []
+    for _ in range(_ROUNDS):
+        looked.append(await ours.load(f"/v1/lookup/{SERVICE}", lookups))
+        carried.append(await ours.load(_PROXIED, proxied))
+        passed.append(await plain.load(_PROXIED, proxied))
+        memory.append(ours.memory_mb)
+    findings = list(socket_findings(looked, carried, passed))
+    findings.append(Finding("memory", "idle daemon", "MB", idle_mb, bound=Bound(64.0)))
+    findings.append(Finding("memory", f"after {requests // _ROUNDS:,} requests", "MB", memory[0]))
+    case = f"after {requests:,} requests"
+    findings.append(Finding("memory", case, "MB", memory[-1], bound=Bound(64.0)))
+    findings.append(Finding("memory", "idle daemon CPU, no peers", "% core", idle_percent))
+    return findings
+
+
+Rounds = list[tuple[LoadResult, float]]
+
+
+def socket_findings(looked: Rounds, carried: Rounds, passed: Rounds) -> Iterator[Finding]:
+    """Yield the findings of rounds of look-ups, of proxied requests and of the baseline."""
+    rates = [result.requests / result.seconds for result, _ in looked]
+    spread = f"{min(rates):.0f}..{max(rates):.0f}"
+    bound = Bound(2000.0, is_least=True)
+    yield Finding("lookups", f"one core ({spread})", "1/s", statistics.median(rates), bound=bound)
+    per_cpu = statistics.median(rate for _, rate in looked)
+    yield Finding("lookups", "per second of CPU", "1/s", per_cpu)
+    p99 = statistics.median(result.p99_ms for result, _ in looked)
+    yield Finding("lookups", f"p99 with {_CONNECTIONS} connections", "ms", p99)
+    rates, plain = (
+        [result.requests / result.seconds for result, _ in rounds] for rounds in (carried, passed)
+    )
+    spread = f"{min(rates):.0f}..{max(rates):.0f}"
+    pair = statistics.median(rates), statistics.median(plain)
+    yield Finding("proxied", f"one core ({spread})", "1/s", pair[0], "pass-through", pair[1])
+    pair = tuple(statistics.median(rate for _, rate in rounds) for rounds in (carried, passed))
+    yield Finding("proxied", "per second of CPU", "1/s", pair[0], "pass-through", pair[1])
+
+
+async def _until_ready(port: int) -> None:
+    """Wait until a proxied request is answered."""
+    async with asyncio.timeout(_READY_LIMIT_S), aiohttp.ClientSession() as session:
+        while True:
+            try:
+                async with session.get(f"http://{HOST}:{port}{_PROXIED}") as response:
+                    if response.status == 200:
+                        return
+            except aiohttp.ClientError:
+                await asyncio.sleep(0)
+            await asyncio.sleep(0.1)
+
+
+if __name__ == "__main__":
+    cli()
