Go through VMs and failure domains in a fixed order

Changed: steering, shard owners and the member list sort the names first; the peer hub opens connections in a method of its own, so that tests can replace only that.

--- a/src/hibiscushaven/entry/owners.py
+++ b/src/hibiscushaven/entry/owners.py
@@ -52,12 +52,12 @@
     def refresh(self) -> None:
         """Start and retire runners as ownership changed, and hand on new documents."""
         owned = self._slots.owned_shards(self._view())
-        for shard in self._runners.keys() - owned:
+        for shard in sorted(self._runners.keys() - owned):
             runner = self._runners.pop(shard)
             self._revisions.pop(shard, None)
             runner.retire()
             self._retired.append(runner)
-        for shard in owned - self._runners.keys():
+        for shard in sorted(owned - self._runners.keys()):
             dispatcher = Dispatcher(
                 DispatchConfig(), self._slots, random.Random(self._rng.random())
             )
--- a/src/hibiscushaven/entry/steering.py
+++ b/src/hibiscushaven/entry/steering.py
@@ -151,11 +151,11 @@
         mine = self._rates.rate(now, service)
         others = (
             (self._membership.peer_part(vm, "arrivals") or {}).get(service, 0.0)
-            for vm in self._membership.view.up
+            for vm in sorted(self._membership.view.up)
             if vm != self._membership.identity.vm
         )
         arrivals = {own: max(_LEAST_RATE, mine + sum(others))}
-        for domain in self._neighbours.reachable_domains() - {own}:
+        for domain in sorted(self._neighbours.reachable_domains() - {own}):
             rates = self._membership.digest_part(domain, "arrivals") or {}
             arrivals[domain] = rates.get(service, 0.0)
         return arrivals
@@ -163,7 +163,7 @@
     def _peer_shares(self, service: str) -> list[Mapping[str, float]]:
         peers = (
             self._membership.peer_part(vm, "shares") or {}
-            for vm in self._membership.view.up
+            for vm in sorted(self._membership.view.up)
             if vm != self._membership.identity.vm
         )
         return [shares[service] for shares in peers if service in shares]
--- a/src/hibiscushaven/membership/node.py
+++ b/src/hibiscushaven/membership/node.py
@@ -292,7 +292,7 @@
         members = {
             vm: Member(vm, state, self._links.links[vm].identity) for vm, state in direct.items()
         }
-        for vm in self._listed.keys() - members.keys():
+        for vm in sorted(self._listed.keys() - members.keys()):
             members[vm] = Member(vm, MemberState.DOWN, None)
         if not self._is_full_mesh:
             self._refresh_reports(direct)
--- a/src/hibiscushaven/peers/hub.py
+++ b/src/hibiscushaven/peers/hub.py
@@ -184,7 +184,7 @@
     async def _dial(self, endpoint: Endpoint, lane: Lane) -> PeerLink:
         try:
             async with asyncio.timeout(_CONNECT_TIMEOUT_S):
-                reader, writer = await asyncio.open_connection(endpoint.host, endpoint.port)
+                reader, writer = await self._open_connection(endpoint)
         except (OSError, TimeoutError) as error:
             raise PeerClosedError(f"no connection to {endpoint}: {error!r}") from error
         stream = PeerStream(reader, writer, _idle_timeout(lane))
@@ -202,6 +202,12 @@
         self._spawn(self._serve(link))
         return self._register(endpoint, link, is_dialed=True)
 
+    async def _open_connection(
+        self, endpoint: Endpoint
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open a connection; tests replace this with one in memory."""
+        return await asyncio.open_connection(endpoint.host, endpoint.port)
+
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         stream = PeerStream(reader, writer)
         try:
