Do not relay a request to the VM that sends it

Cause: between a change of the view and the next tick a VM found itself as the owner without a runner, and relayed to itself until the hop limit. Change: the request is refused as not run at once.

--- a/src/hibiscushaven/entry/neighbours.py
+++ b/src/hibiscushaven/entry/neighbours.py
@@ -31,6 +31,10 @@
     def domain(self) -> str:
         return self._membership.identity.failure_domain
 
+    @property
+    def own_endpoint(self) -> Endpoint:
+        return self._membership.identity.endpoint
+
     @property
     def entries(self) -> tuple[VmEntry, ...]:
         return self._membership.view.entries
--- a/src/hibiscushaven/entry/routes.py
+++ b/src/hibiscushaven/entry/routes.py
@@ -145,6 +145,9 @@
             if runner is not None:
                 return await self._run(request, deadline)
             endpoint = self._owners.owner_endpoint(shard)
+            if endpoint == self._neighbours.own_endpoint:
+                # Ownership has just come here; the runner starts with the next tick.
+                raise RouteError(Outcome.NOT_RUN, _OWNER_CHANGED, _RETRY_NO_OWNER_S)
         else:
             endpoint = self._neighbours.gateway(request.place, self._rng)
         if endpoint is None:
