Define the outcome of a request once

Cause: delivery, claims and dispatch each had an enum of their own with the same values, and the entry layer turned one into another. Change: one package that all of them use.

--- a/src/hibiscushaven/claims/model.py
+++ b/src/hibiscushaven/claims/model.py
@@ -5,6 +5,8 @@
 
 import msgpack
 
+from hibiscushaven.outcomes import Outcome
+
 from .fingerprint import claim_key
 
 __all__ = [
@@ -29,14 +31,6 @@
     """A value in the table that is not a claim row of this version."""
 
 
-class Outcome(StrEnum):
-    """Whether a request was run."""
-
-    RUN = "run"
-    NOT_RUN = "not-run"
-    UNKNOWN = "unknown"
-
-
 class RowState(StrEnum):
     """State of a claim in the table."""
 
--- a/src/hibiscushaven/delivery/outcome.py
+++ b/src/hibiscushaven/delivery/outcome.py
@@ -2,15 +2,9 @@
 
 from enum import StrEnum
 
-__all__ = ["AttemptError", "Outcome", "Stop", "outcome_of"]
-
+from hibiscushaven.outcomes import Outcome
 
-class Outcome(StrEnum):
-    """What is known about whether a request ran."""
-
-    RUN = "run"
-    NOT_RUN = "not-run"
-    UNKNOWN = "unknown"
+__all__ = ["AttemptError", "Outcome", "Stop", "outcome_of"]
 
 
 class Stop(StrEnum):
--- a/src/hibiscushaven/dispatch/actions.py
+++ b/src/hibiscushaven/dispatch/actions.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from hibiscushaven.outcomes import Outcome
+
 from .ports import Token
 
 __all__ = [
@@ -17,13 +19,6 @@
 ]
 
 
-class Outcome(StrEnum):
-    """What is known of a request that is given up."""
-
-    NOT_RUN = "not-run"
-    UNKNOWN = "unknown"
-
-
 class RefusalReason(StrEnum):
     """Why a work item is given up."""
 
--- a/src/hibiscushaven/entry/router.py
+++ b/src/hibiscushaven/entry/router.py
@@ -15,8 +15,8 @@
     Replay,
     request_fingerprint,
 )
-from hibiscushaven.claims import Outcome as ClaimOutcome
-from hibiscushaven.delivery import AttemptError, Outcome, RelayError
+from hibiscushaven.delivery import AttemptError, RelayError
+from hibiscushaven.outcomes import Outcome
 
 from .clock import Clock
 from .errors import RouteError
@@ -84,7 +84,7 @@
             return Ok(CallerAnswer(answer.status, answer.headers, body, close=body.close))
         kept = tuple(pair for pair in answer.headers if pair[0].lower() in _PASSED_HEADERS)
         whole = body.take()
-        await self._claims.complete(claim, ClaimOutcome.RUN, Answer(answer.status, kept, whole))
+        await self._claims.complete(claim, Outcome.RUN, Answer(answer.status, kept, whole))
         await answer.close()
         return Ok(CallerAnswer(answer.status, answer.headers, _once(whole)))
 
@@ -93,7 +93,7 @@
         if problem.outcome == Outcome.NOT_RUN.value:
             await self._claims.release(claim)
         else:
-            await self._claims.complete(claim, ClaimOutcome.UNKNOWN, None)
+            await self._claims.complete(claim, Outcome.UNKNOWN, None)
 
     async def _route(
         self, item: ClassifiedRequest, claim: Claim | None = None
@@ -157,14 +157,14 @@
             yield part
         async for chunk in self._rest:
             yield chunk
-        await self._end(ClaimOutcome.RUN)
+        await self._end(Outcome.RUN)
 
     async def close(self) -> None:
         """End the claim; the outcome is unknown unless the body was read to its end."""
-        await self._end(ClaimOutcome.UNKNOWN)
+        await self._end(Outcome.UNKNOWN)
         await self._answer.close()
 
-    async def _end(self, outcome: ClaimOutcome) -> None:
+    async def _end(self, outcome: Outcome) -> None:
         if not self._is_ended:
             self._is_ended = True
             await self._claims.complete(self._claim, outcome, None)
@@ -176,11 +176,11 @@
 
 def _replayed(replay: Replay) -> Result[CallerAnswer, Problem]:
     """Return the result of an earlier run."""
-    if replay.outcome is ClaimOutcome.RUN and replay.answer is not None:
+    if replay.outcome is Outcome.RUN and replay.answer is not None:
         kept = replay.answer
         headers = (*kept.headers, ("Idempotent-Replayed", "true"))
         return Ok(CallerAnswer(kept.status, headers, _once(kept.body)))
-    if replay.outcome is ClaimOutcome.RUN:
+    if replay.outcome is Outcome.RUN:
         detail = f"it ran with status {replay.status}; the answer was too large to keep"
         return Error(Problem(409, "already run", detail, Outcome.RUN.value))
     detail = "an earlier attempt with this key may have run; it is never run again"
--- a/src/hibiscushaven/entry/shard_runner.py
+++ b/src/hibiscushaven/entry/shard_runner.py
@@ -304,8 +304,7 @@
     def _refuse(self, action: Refuse) -> None:
         job = self._jobs.get(action.work_id)
         if job is not None and not job.answer.done():
-            outcome = Outcome(action.outcome.value)
-            error = WorkRefusedError(outcome, action.reason.value, action.retry_after_s)
+            error = WorkRefusedError(action.outcome, action.reason.value, action.retry_after_s)
             job.answer.set_exception(error)
 
     def _finish(self, action: Finish) -> None:
