Show queues, slots, peers and failed platform calls as metrics

Cause: operators had the state of queues and slots in the status of each VM only. Change: gauges by tenant and service, refreshed each second, and a counter of failed platform calls.

--- a/src/hibiscushaven/entry/node.py
+++ b/src/hibiscushaven/entry/node.py
@@ -19,6 +19,7 @@
 from hibiscushaven.slots import RosterKeeper, SlotNode
 
 from .documents import KINDS, DocumentExchange
+from .gauges import refresh_gauges
 from .link_desk import LinkDesk
 from .look_up import LookupDesk
 from .mail import Mail
@@ -38,6 +39,7 @@
 _TICK_S = 0.1
 _POLL_S = 1.0
 _PROBE_S = 1.0
+_GAUGES_S = 1.0
 _JITTER = 0.2  # share of an interval, so that VMs do not ask the platform in step
 _DEFAULT_CONNECTIONS = 64
 
@@ -94,6 +96,7 @@
             (_POLL_S, _JITTER, self.documents.poll),
             (_POLL_S, _JITTER, self._keep_roster),
             (_PROBE_S, _JITTER, self.probes.step),
+            (_GAUGES_S, 0.0, self._refresh_gauges),
         )
         self._tasks = [asyncio.create_task(self._loop(*item)) for item in loops]
 
@@ -191,6 +194,7 @@
             try:
                 await step()
             except PlatformError as error:
+                self.metrics.counter("platform_failures_total").add()
                 _LOG.warning("platform call failed", extra={"reason": str(error)})
             except Exception:
                 # One faulty message or document must not stop the heartbeats.
@@ -216,6 +220,11 @@
         self._exchange_crashes(now)
         self.membership.set_part("usable", self.owners.usable())
 
+    async def _refresh_gauges(self) -> None:
+        refresh_gauges(
+            self.metrics, self.catalog, self.membership, self.owners, self.claims.open_claims
+        )
+
     async def _read_list(self) -> None:
         try:
             vms = await self.platform.list_vms()
--- a/src/hibiscushaven/entry/shard_runner.py
+++ b/src/hibiscushaven/entry/shard_runner.py
@@ -22,6 +22,7 @@
     Finish,
     Refuse,
     ResultKind,
+    Snapshot,
     StartAttempt,
     Work,
 )
@@ -198,16 +199,21 @@
         if fingerprints:
             self._dispatcher.crashes.merge(now, fingerprints)
 
+    @property
+    def snapshot(self) -> Snapshot:
+        """The state of queues and slots."""
+        return self._dispatcher.snapshot(self._clock.now())
+
     @property
     def usable(self) -> int:
         """How many requests may be in progress now, on servers that are not set aside."""
-        snapshot = self._dispatcher.snapshot(self._clock.now())
+        snapshot = self.snapshot
         counts = snapshot.in_progress.items()
         return snapshot.free_slots + sum(n for name, n in counts if name not in snapshot.set_aside)
 
     def describe(self) -> dict[str, object]:
         """Return the state for operators."""
-        snapshot = self._dispatcher.snapshot(self._clock.now())
+        snapshot = self.snapshot
         return {
             "queued": {size.value: count for size, count in snapshot.queued.items()},
             "in_progress": dict(snapshot.in_progress),
