--- a/src/hibiscushaven/bench/http_load.py
+++ b/src/hibiscushaven/bench/http_load.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections import Counter
 from dataclasses import dataclass
 
 from hdrh.histogram import HdrHistogram
@@ -10,6 +11,7 @@
 
 _LONGEST_US = 60_000_000
 _LENGTH = b"content-length:"
+_NOT_RUN = b"request-outcome: not-run"
 
 
 class LoadError(Exception):
@@ -20,13 +22,16 @@
 class LoadResult:
     """What a run measured.
 
+    :ivar requests: requests that were answered.
     :ivar seconds: wall time of all requests.
+    :ivar refused: requests that were refused as not run, by the body of the refusal.
     """
 
     requests: int
     seconds: float
     p50_ms: float
     p99_ms: float
+    refused: tuple[tuple[str, int], ...] = ()
 
 
 class _Client(asyncio.Protocol):
@@ -46,14 +51,17 @@
         head, separator, body = self._received.partition(b"\r\n\r\n")
         if not separator:
             return
-        if not head.startswith(b"HTTP/1.1 200"):
-            self._run.fail(f"unexpected response {head[:200]!r}")
-            self._transport.close()
-            return
         if not _is_complete(head, body):
             return
         self._received = b""
-        self._run.record(time.perf_counter() - self._sent_at)
+        if head.startswith(b"HTTP/1.1 200"):
+            self._run.record(time.perf_counter() - self._sent_at)
+        elif _NOT_RUN in head.lower():
+            self._run.refuse(body)
+        else:
+            self._run.fail(f"unexpected response {head[:200]!r}")
+            self._transport.close()
+            return
         self._next()
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -79,6 +87,7 @@
     def __init__(self, requests: int) -> None:
         self._left = requests
         self._open = requests
+        self.refused: Counter[str] = Counter()
         self.times = HdrHistogram(1, _LONGEST_US, 3)
         self.done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
@@ -92,6 +101,13 @@
 
     def record(self, seconds: float) -> None:
         self.times.record_value(max(1, int(1e6 * seconds)))
+        self._end()
+
+    def refuse(self, body: bytes) -> None:
+        self.refused[body[:200].decode("latin-1")] += 1
+        self._end()
+
+    def _end(self) -> None:
         self._open -= 1
         if not self._open and not self.done.done():
             self.done.set_result(None)
@@ -106,7 +122,7 @@
 ) -> LoadResult:
     """Send requests and return when all are answered.
 
-    :raises LoadError: when a response is not 200 or a connection ends early.
+    :raises LoadError: when a response is neither 200 nor a refusal, or a connection ends early.
     """
     loop = asyncio.get_running_loop()
     run = _Run(requests)
@@ -117,4 +133,5 @@
     await run.done
     seconds = time.perf_counter() - started
     p50, p99 = (run.times.get_value_at_percentile(item) / 1000 for item in (50, 99))
-    return LoadResult(requests, seconds, p50, p99)
+    answered = requests - run.refused.total()
+    return LoadResult(answered, seconds, p50, p99, tuple(run.refused.items()))
