Show the tail of proxied requests and the refused share of claims

Cause: the table showed rates of proxied requests but not that some waited for seconds, and calls per claim without the share of claims that were refused. Change: one more row for each.

--- a/src/hibiscushaven/bench/policies.py
+++ b/src/hibiscushaven/bench/policies.py
@@ -153,4 +153,5 @@
     bound = Bound(_CLAIM_TRANSACTIONS_PER_S)
     yield Finding("claims", f"{at} writes of 23 VMs", "1/s", found.transactions_per_s, bound=bound)
     yield Finding("claims", f"{at} duplicates", "runs", found.duplicates, bound=Bound(0.0))
+    yield Finding("claims", f"{at} refused as not run", "share", found.refused)
     yield Finding("claims", f"{at} median wait", "ms", found.median_ms)
--- a/src/hibiscushaven/bench/sockets.py
+++ b/src/hibiscushaven/bench/sockets.py
@@ -159,6 +159,11 @@
     spread = f"{min(rates):.0f}..{max(rates):.0f}"
     pair = statistics.median(rates), statistics.median(plain)
     yield Finding("proxied", f"one core ({spread})", "1/s", pair[0], "pass-through", pair[1])
+    tails = [
+        statistics.median(result.p99_ms for result, _ in rounds) for rounds in (carried, passed)
+    ]
+    case = f"p99 with {_CONNECTIONS} connections"
+    yield Finding("proxied", case, "ms", tails[0], "pass-through", tails[1])
     sent = sum(result.requests + _refused(result) for result, _ in carried)
     refused = sum(_refused(result) for result, _ in carried)
     yield Finding("proxied", f"refused of {sent:,}", "requests", refused)
