--- a/src/hibiscushaven/bench/__main__.py
+++ b/src/hibiscushaven/bench/__main__.py
@@ -8,7 +8,7 @@
 
 import click
 
-from . import clusters, control, policies  # noqa: F401  (they fill the registry)
+from . import at_scale, clusters, control, policies  # noqa: F401  (they fill the registry)
 from .measures import FULL, MEASURES, QUICK, Finding
 
 __all__ = ["main"]
--- a/src/hibiscushaven/bench/control.py
+++ b/src/hibiscushaven/bench/control.py
@@ -25,7 +25,7 @@
 from .virtual import run_virtual
 from .virtual_nodes import Network, make_node, vm_entry
 
-__all__ = ["ControlCost", "control_cost", "measure_nodes"]
+__all__ = ["ControlCost", "bench_document", "control_cost", "measure_nodes"]
 
 _SEED = 17
 _ACCEPTED_AT = 1_700_000_000.0
@@ -54,7 +54,7 @@
     memory_kb: float
 
 
-def _document(service: int) -> str:
+def bench_document(service: int) -> str:
     lines = [
         "[service]",
         f"name = service-{service}",
@@ -81,7 +81,7 @@
     heads = {f"service-{number}": 1 for number in range(services)}
     for number, name in enumerate(heads):
         operator = Operator("bench", "bench")
-        row = DocumentRow(name, "bench", _document(number), 1, "op", operator, _ACCEPTED_AT)
+        row = DocumentRow(name, "bench", bench_document(number), 1, "op", operator, _ACCEPTED_AT)
         yield Write(document_key(name), row.encode(), 0)
     yield Write(HEADS_KEY, encode_heads(heads), 0)
 
