--- /dev/null
+++ b/src/hibiscushaven/entry/tests/test_signals.py
@@ -0,0 +1,23 @@
+"""Signals that stop a process."""
+
+import asyncio
+import signal
+
+from hibiscushaven.entry import on_stop
+
+
+def test_ignored_ctrl_c_stays_ignored():
+    """Guards against Ctrl-C at a demo that counts as the first of two stop signals."""
+
+    async def handled():
+        on_stop(lambda: None)
+        loop = asyncio.get_running_loop()
+        return [loop.remove_signal_handler(item) for item in (signal.SIGTERM, signal.SIGINT)]
+
+    before = signal.signal(signal.SIGINT, signal.SIG_IGN)
+    try:
+        assert asyncio.run(handled()) == [True, False]
+        signal.signal(signal.SIGINT, signal.default_int_handler)
+        assert asyncio.run(handled()) == [True, True]
+    finally:
+        signal.signal(signal.SIGINT, before)
