Report an unknown outcome when an earlier way may have run a request

A request that was sent another way after a lost connection got the outcome of the last way. When that way refused it, the caller was told not-run although the first way had run it.

Ruled out: not sending idempotent requests another way, which would give up answers that can be had. Changed: the router remembers whether any way ended as unknown and then never reports not-run.

--- a/src/hibiscushaven/entry/router.py
+++ b/src/hibiscushaven/entry/router.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import AsyncIterator
+from dataclasses import replace
 
 from expression import Error, Ok, Result
 
@@ -115,11 +116,16 @@
     async def _route(
         self, item: ClassifiedRequest, claim: Claim | None = None
     ) -> Result[CallerAnswer, Problem]:
+        """Send a request, and another way if the first one failed.
+
+        A way that failed may have run it, so that a later refusal is no proof that it did not.
+        """
         self._routes.note_arrival(item)
+        may_have_run = False
         for _ in range(_MAX_ROUTES):
             domain = self._routes.choose_domain(item)
             if domain is None:
-                return Error(self._routes.no_place(item))
+                return Error(_with_doubt(self._routes.no_place(item), may_have_run))
             try:
                 if claim is not None:
                     claim.mark_sent()
@@ -129,14 +135,15 @@
             except RouteError as error:
                 if claim is not None and error.outcome is Outcome.NOT_RUN:
                     claim.mark_refused()
+                may_have_run |= error.outcome is not Outcome.NOT_RUN
                 if not self._may_reroute(item, error):
-                    return Error(_route_problem(error))
+                    return Error(_with_doubt(_route_problem(error), may_have_run))
                 last = error
                 _LOG.info(
                     "request rerouted",
                     extra={"request_id": item.request.id, "reason": error.reason},
                 )
-        return Error(_route_problem(last))
+        return Error(_with_doubt(_route_problem(last), may_have_run))
 
     def _may_reroute(self, item: ClassifiedRequest, error: RouteError) -> bool:
         if not error.is_route_lost or self._clock.now() >= item.deadline:
@@ -171,6 +178,13 @@
     )
 
 
+def _with_doubt(problem: Problem, may_have_run: bool) -> Problem:
+    """Return a problem with outcome ``unknown`` if an earlier try may have run the request."""
+    if may_have_run and problem.outcome == Outcome.NOT_RUN.value:
+        return replace(problem, outcome=Outcome.UNKNOWN.value)
+    return problem
+
+
 def _route_problem(error: RouteError) -> Problem:
     if error.outcome is Outcome.NOT_RUN:
         status = _STATUS_BY_REASON.get(error.reason, 503)
