Send requests on to a peer when this VM knows no roster

A VM that started while the table was down had documents from its peers but no roster, so that it refused every request for its own failure domain with no-owner until the table came back.

Ruled out: asking peers for the roster, which would let a stale one decide who owns slot tokens. Changed: without a roster the request goes to any peer that is up, which sends it on to the owner; the limit of hops ends a circle.

--- a/src/hibiscushaven/entry/owners.py
+++ b/src/hibiscushaven/entry/owners.py
@@ -75,7 +75,13 @@
         return self._runners.get(shard) if shard is not None else None
 
     def owner_endpoint(self, shard: Shard | None) -> Endpoint | None:
-        """Return where the owner of a shard is reached."""
+        """Return where the owner of a shard is reached.
+
+        A VM that started while the table was down has no roster. Any peer may have one, and
+        sends the request on to the owner.
+        """
+        if not self._slots.roster.members:
+            return self._any_peer()
         member = self._slots.owner_of(shard, self._view()) if shard is not None else None
         return member.endpoint if member is not None else None
 
@@ -105,6 +111,13 @@
         for runner in (*self._runners.values(), *self._retired):
             await runner.close()
 
+    def _any_peer(self) -> Endpoint | None:
+        view = self._view()
+        identities = (view.identity_of(vm) for vm in sorted(view.up))
+        own = self._slots.identity
+        peers = [item.endpoint for item in identities if item is not None and item.vm != own.vm]
+        return self._rng.choice(peers) if peers else None
+
     def _local_servers(self, service: str) -> tuple[Server, ...]:
         entry = self._catalog.get(service)
         place = entry and entry.document.places_by_domain.get(self._domain)
--- a/src/hibiscushaven/slots/node.py
+++ b/src/hibiscushaven/slots/node.py
@@ -65,6 +65,10 @@
         self._next_query = float("-inf")
         self._noticed: dict[Endpoint, float] = {}
 
+    @property
+    def identity(self) -> PeerIdentity:
+        return self._own
+
     @property
     def roster(self) -> Roster:
         return self._roster
