--- a/src/hibiscushaven/bench/http_load.py
+++ b/src/hibiscushaven/bench/http_load.py
@@ -124,7 +124,8 @@
 ) -> LoadResult:
     """Send requests and return when all are answered.
 
-    :raises LoadError: when a response is neither 200 nor states an outcome, or a connection ends early.
+    :raises LoadError: when a response is neither 200 nor states an outcome, or when a
+        connection ends early.
     """
     loop = asyncio.get_running_loop()
     run = _Run(requests)
