End attempts that are cancelled before their first step

Cause: a task that is cancelled before it ran never enters its coroutine, so that the runner never reported the end of the attempt and its slot token was lost for good. It happens when a hedge starts as the first attempt finishes. In a run of proxied requests attempts older than their deadline of 5 s piled up until requests waited with all slots taken, and some ended with 503 or 504. Ruled out: backends and connection limits; the attempts were not sent, and the pass-through to the same backends lost nothing. Change: a callback of the task reports the end of an attempt whose task never ran. The new test times out without the change and passes with it.

--- a/src/hibiscushaven/entry/shard_runner.py
+++ b/src/hibiscushaven/entry/shard_runner.py
@@ -269,6 +269,15 @@
         attempt = _Attempt(start, job, server)
         self._attempts[start.attempt_id] = attempt
         attempt.task = self._spawn(self._attempt(attempt))
+        attempt.task.add_done_callback(lambda task: self._end_if_unstarted(attempt, task))
+
+    def _end_if_unstarted(self, attempt: _Attempt, task: asyncio.Task[None]) -> None:
+        """End an attempt whose task was cancelled before its first step.
+
+        Such a task never enters its coroutine, so that the attempt would keep its slot.
+        """
+        if task.cancelled() and not attempt.is_ended:
+            self._end(attempt, AttemptResult(ResultKind.CANCELLED, 0, True))
 
     def _later(self, event: Callable[[], list[Action]]) -> None:
         asyncio.get_running_loop().call_soon(lambda: self._carry_out(event()))
--- /dev/null
+++ b/src/hibiscushaven/entry/tests/test_shard_runner.py
@@ -0,0 +1,62 @@
+"""Tests of the runner that carries out a dispatcher's decisions."""
+
+import asyncio
+
+from hibiscushaven.bench.shards import LOOKUP
+from hibiscushaven.dispatch import CancelAttempt, StartAttempt, Work
+from hibiscushaven.dispatch.actions import CancelReason
+from hibiscushaven.documents import Server, State
+from hibiscushaven.entry.shard_runner import Job, ShardRunner
+from hibiscushaven.ini.fields import Endpoint
+
+
+class _Clock:
+    def now(self) -> float:
+        return 0.0
+
+    def unix(self) -> float:
+        return 0.0
+
+
+class _Dispatcher:
+    """Starts an attempt and cancels it in the same step, as when another one just finished."""
+
+    def __init__(self) -> None:
+        self.ended = []
+
+    def set_document(self, now, document, servers):
+        return []
+
+    def submit(self, now, work):
+        start = StartAttempt("a1", work.id, "s0", object(), True, False)
+        return [start, CancelAttempt("a1", next(iter(CancelReason)))]
+
+    def attempt_ended(self, now, attempt_id, result):
+        self.ended.append((attempt_id, result.kind.name, result.is_stopped))
+        return []
+
+    def cancel(self, now, work_id):
+        return []
+
+    def next_due(self, now):
+        return float("inf")
+
+
+def test_attempt_cancelled_before_its_first_step_gives_its_slot_back():
+    """Guards against hedges that keep slots for ever: their task never enters its coroutine."""
+
+    async def run() -> list:
+        dispatcher = _Dispatcher()
+        runner = ShardRunner(dispatcher, None, lambda now, token: 1.0, _Clock())
+        server = Server("s0", "p", Endpoint("127.0.0.1", 1), 1, 1, State.ACTIVE)
+        runner.set_document(None, (server,))
+        work = Work("w1", "stock", "t", "c", 1.0, LOOKUP, 1.0, "f")
+        task = asyncio.create_task(runner.run(Job(work, "GET", "/", (), b"")))
+        while not dispatcher.ended:
+            await asyncio.sleep(0)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        assert runner.is_idle
+        return dispatcher.ended
+
+    assert asyncio.run(asyncio.wait_for(run(), 5)) == [("a1", "CANCELLED", True)]
