Wait for the work that borrowed tokens may be used for

Cause: after an unclean end of an owner its borrowed tokens came back only after the longest deadline of the service, 120 s where it serves downloads, although they were idle or used by short work; a place with one of two VMs killed refused everything for about 30 s. Ruled out: asking backend servers what they run, since their load reports lag and mislead. Change: a loan states how many of its tokens may start long work; after an unclean end the others are lent again once the longest short deadline has passed. The fault runs have both kinds of work.

--- a/src/hibiscushaven/dispatch/placement.py
+++ b/src/hibiscushaven/dispatch/placement.py
@@ -87,6 +87,7 @@
             if state.name not in item.tried
             and not (is_suspect and state.suspects_in_progress)
             and not (is_bounded and self._limits.server_room(state) <= 0)
+            and state.may_have_token(now, item.work.deadline)
             and self._servers.free(now, state) > 0
         ]
 
--- a/src/hibiscushaven/dispatch/servers.py
+++ b/src/hibiscushaven/dispatch/servers.py
@@ -41,6 +41,8 @@
     :ivar slowness: latency relative to the other backend servers; 1 is usual.
     :ivar is_slow: whether it is judged much slower than the others.
     :ivar is_set_aside: whether it gets only probes for now.
+    :ivar no_token_until: until when work that ends at ``no_token_from`` or later is left out,
+        because no token was had for such work.
     :ivar ramp_from: when a cold backend server took its first work; ``None`` when warm.
     """
 
@@ -59,6 +61,8 @@
     connect_failures: int = 0
     refusals: int = 0
     paused_until: float = 0.0
+    no_token_until: float = 0.0
+    no_token_from: float = math.inf
     report: LoadReport | None = None
 
     @property
@@ -102,6 +106,19 @@
         """Start nothing new on it for a while."""
         self.paused_until = max(self.paused_until, now + seconds)
 
+    def note_no_token(self, now: float, deadline: float, seconds: float) -> None:
+        """Leave out work with this deadline or a later one for a while.
+
+        Tokens for short work may be free while none is for long work.
+        """
+        if now >= self.no_token_until:
+            self.no_token_from = math.inf
+        self.no_token_from = min(self.no_token_from, deadline)
+        self.no_token_until = now + seconds
+
+    def may_have_token(self, now: float, deadline: float) -> bool:
+        return now >= self.no_token_until or deadline < self.no_token_from
+
     def note_answer(self, now: float) -> None:
         """Note that it answers; one that was down starts over with a cold cache."""
         self.connect_failures = 0
--- a/src/hibiscushaven/dispatch/starter.py
+++ b/src/hibiscushaven/dispatch/starter.py
@@ -16,8 +16,9 @@
 # With 1, a shard at its limit had a median of 126 ms in place of 93 ms; with 4, a shard with room
 # used slow servers so often that its p99 rose from 76 to 117 ms.
 _RELIEF_FACTOR = 2.0
-# A backend server whose tokens cannot be had although they are offered is left out for a tick;
-# otherwise it could be chosen again and again while others are free.
+# A backend server whose tokens cannot be had although they are offered is left out for a tick,
+# by work that ends as late or later; otherwise it could be chosen again and again while others
+# are free. Work that ends earlier may find a token for short work.
 _TOKEN_PAUSE_S = 0.02
 
 
@@ -101,7 +102,7 @@
     ) -> bool:
         token = self._attempts.take_token(now, item, state)
         if token is None:
-            state.pause(now, _TOKEN_PAUSE_S)
+            state.note_no_token(now, item.work.deadline, _TOKEN_PAUSE_S)
             return False
         attempt, action = self._attempts.start(now, item, state, token, is_hedge, is_suspect)
         self._actions.append(action)
--- a/src/hibiscushaven/dispatch/tests/test_attempts.py
+++ b/src/hibiscushaven/dispatch/tests/test_attempts.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from hibiscushaven.bench.shards import LOOKUP, ORDER
+from hibiscushaven.bench.shards import LOOKUP, MANIFEST, ORDER
 from hibiscushaven.dispatch import (
     CancelReason,
     DispatchConfig,
@@ -171,6 +171,31 @@
     assert [driver.submit().server for _ in range(2)] == ["s1", "s1"]
 
 
+def test_long_work_without_tokens_holds_nothing_back():
+    """Guards against short work that waits behind long work, lost long work and a busy loop."""
+    driver = Driver(3, 4)
+    acquire, asked = driver.slots.acquire, []
+    is_long_granted = False
+
+    def acquire_short(now, service, server, deadline):
+        if deadline <= now + 10.0 or is_long_granted:
+            return acquire(now, service, server, deadline)
+        asked.append(now)
+        assert len(asked) <= 3 * (1.0 / 0.02 + 1), "a busy loop"
+        return None
+
+    driver.slots.acquire = acquire_short
+    assert driver.submit(MANIFEST) is None
+    for _ in range(100):
+        start = driver.submit()
+        assert isinstance(start, StartAttempt)
+        driver.pass_time(0.005, step=0.005)
+        driver.run(start, 0.005)
+    assert len(asked) >= 25
+    is_long_granted = True
+    assert [item.work_id for item in starts(driver.pass_time(0.04))] == ["w1"]
+
+
 def test_work_id_is_taken_once():
     """Guards against one id with two final actions."""
     driver = Driver()
--- a/src/hibiscushaven/documents/model.py
+++ b/src/hibiscushaven/documents/model.py
@@ -152,6 +152,12 @@
     def longest_deadline_s(self) -> float:
         return max(item.deadline_ms for item in self.classes) / 1000
 
+    @property
+    def longest_short_deadline_s(self) -> float:
+        """The longest deadline of the short classes, or of all if none is short."""
+        times = [item.deadline_ms / 1000 for item in self.classes if not item.is_long]
+        return max(times, default=self.longest_deadline_s)
+
     def classify(self, method: str, path: str) -> RequestClass | None:
         """Return the first class that matches, in the document's order."""
         return next((item for item in self.classes if item.matches(method, path)), None)
--- a/src/hibiscushaven/slots/inventory.py
+++ b/src/hibiscushaven/slots/inventory.py
@@ -85,6 +85,7 @@
         self._elsewhere: dict[tuple[str, str], None] = {}
         self._moved: dict[tuple[str, str], float | None] = {}
         self._longest: dict[str, float] = {}
+        self._longest_short: dict[str, float] = {}
         self._shards: frozenset[Shard] = frozenset()
 
     @property
@@ -97,6 +98,8 @@
             self._note_moves(document)
             longest = document.longest_deadline_s
             self._longest[name] = max(longest, self._longest.get(name, 0.0))
+            short = document.longest_short_deadline_s
+            self._longest_short[name] = max(short, self._longest_short.get(name, 0.0))
         self._services = {
             name: ServiceInventory.of(document, self._domain)
             for name, document in documents.items()
@@ -114,6 +117,10 @@
         """Return the longest deadline that any revision seen allowed."""
         return self._longest.get(service, 0.0)
 
+    def longest_short_s(self, service: str) -> float:
+        """Return the longest deadline of short work that any revision seen allowed."""
+        return self._longest_short.get(service, 0.0)
+
     def slots(self, now: float, service: str) -> Mapping[str, int]:
         """Return the tokens by pool that may be lent and used now."""
         item = self._services.get(service)
--- a/src/hibiscushaven/slots/lender.py
+++ b/src/hibiscushaven/slots/lender.py
@@ -20,7 +20,10 @@
 
     :ivar granted: tokens granted by pool at ``version``.
     :ivar bound: most tokens that the borrower may hold by pool, whatever was lost on the way.
+    :ivar granted_long: how many of the granted tokens may start long work.
+    :ivar bound_long: most tokens by pool that may be in use for long work.
     :ivar hold_s: longest time after the loan term that a borrowed token may be in use.
+    :ivar short_s: the same for tokens that are not used for long work.
     """
 
     version: int
@@ -28,7 +31,14 @@
     seq: int = -1
     granted: dict[str, int] = field(default_factory=dict)
     bound: dict[str, int] = field(default_factory=dict)
+    granted_long: dict[str, int] = field(default_factory=dict)
+    bound_long: dict[str, int] = field(default_factory=dict)
     hold_s: float = 0.0
+    short_s: float = 0.0
+
+    @property
+    def short_free_at(self) -> float:
+        return self.expires_at + self.short_s + MARGIN_S
 
     @property
     def free_at(self) -> float:
@@ -44,7 +54,8 @@
     The sum of own use and of what borrowers may hold never rises beyond the tokens at home.
     When these become fewer, tokens are asked back and nothing more is lent until they
     are. A borrower's silence frees its tokens only after the loan term and the longest
-    deadline.
+    deadline of the work that they may be used for: short work, except for as many tokens
+    as were granted for long work.
     """
 
     def __init__(self) -> None:
@@ -98,6 +109,12 @@
         for borrower, account in list(self._accounts.items()):
             if now >= account.free_at:
                 del self._accounts[borrower]
+            elif now >= account.short_free_at and account.bound != account.bound_long:
+                # A new version, because the borrower may not have the old grant any more.
+                account.version = self._next_version()
+                account.bound = dict(account.bound_long)
+                account.granted = _within(account.granted, account.bound)
+                account.granted_long = _within(account.granted_long, account.bound)
 
     def renew(
         self,
@@ -107,13 +124,17 @@
         item: RenewalItem,
         hold_s: float,
         quota: Callable[[str], int],
+        short_s: float | None = None,
     ) -> AnswerItem | None:
         """Take a borrower's statement; return the grant, ``None`` for a late statement.
 
         :param borrower: incarnation of the borrower.
+        :param hold_s: longest deadline of the service.
+        :param short_s: longest deadline of short work, by default that of all work.
         :param quota: most tokens of a pool for this borrower, 0 for pools that are not for it.
         """
         self.expire(now)
+        short_s = hold_s if short_s is None else min(short_s, hold_s)
         allowed = quota if item.is_wanted else _no_quota
         account = self._accounts.get(borrower)
         is_new = account is None
@@ -124,15 +145,20 @@
         account.seq = seq
         if is_new or item.ack == account.version:
             if not is_new:
-                self._take_back(account, item.kept)
-            self._grant(account, allowed)
+                self._take_back(account, item)
+            self._grant(account, allowed, item.long)
         is_renewed = any(allowed(pool) for pool in self._owned)
         if is_renewed:
             account.expires_at = now + LOAN_TERM_S
             account.hold_s = max(account.hold_s, hold_s)
-        granted = None if item.ack == account.version else account.granted
-        hold_ms = int(hold_s * 1000)
-        return AnswerItem(item.service, account.version, is_renewed, hold_ms, granted)
+            account.short_s = max(account.short_s, short_s)
+        granted, long = account.granted, account.granted_long
+        if item.ack == account.version:
+            granted, long = None, {}
+        times = int(hold_s * 1000), int(short_s * 1000)
+        return AnswerItem(
+            item.service, account.version, is_renewed, times[0], granted, long, times[1]
+        )
 
     def _next_version(self) -> int:
         self._version += 1
@@ -142,29 +168,38 @@
         return (pool for account in self._accounts.values() for pool in account.bound)
 
     @staticmethod
-    def _take_back(account: _Account, kept: dict[str, int]) -> None:
+    def _take_back(account: _Account, item: RenewalItem) -> None:
         """Lower the bounds: the borrower knows the grant, so it holds no more than it says."""
-        for pool, bound in list(account.bound.items()):
-            left = min(bound, kept.get(pool, account.granted.get(pool, 0)))
-            if left > 0:
-                account.bound[pool] = left
-            else:
-                del account.bound[pool]
-
-    def _grant(self, account: _Account, quota: Callable[[str], int]) -> None:
+        account.bound = _within(account.bound, {**account.granted, **item.kept})
+        kept_long = _within(account.bound_long, {**account.granted_long, **item.long})
+        account.bound_long = _within(kept_long, account.bound)
+
+    def _grant(self, account: _Account, quota: Callable[[str], int], long: dict[str, int]) -> None:
         granted = {}
         for pool in {*self._owned, *account.bound}:
             held, spare, limit = account.bound.get(pool, 0), self.spare(pool), quota(pool)
             count = min(held + spare, limit)
             if count > 0:
                 granted[pool] = count
-        has_more = any(count > account.bound.get(pool, 0) for pool, count in granted.items())
-        if not has_more and granted == account.granted:
+        granted_long = _within(granted, {**account.granted_long, **long})
+        pairs = ((granted, account.bound), (granted_long, account.bound_long))
+        has_more = any(
+            count > bound.get(pool, 0) for counts, bound in pairs for pool, count in counts.items()
+        )
+        is_same = (granted, granted_long) == (account.granted, account.granted_long)
+        if is_same and not has_more:
             return
         account.version = self._next_version()
-        account.granted = granted
-        for pool, count in granted.items():
-            account.bound[pool] = max(account.bound.get(pool, 0), count)
+        account.granted, account.granted_long = granted, granted_long
+        for counts, bound in pairs:
+            for pool, count in counts.items():
+                bound[pool] = max(bound.get(pool, 0), count)
+
+
+def _within(counts: dict[str, int], limits: dict[str, int]) -> dict[str, int]:
+    """Return the counts by pool, none above its limit, without zeros."""
+    lower = ((pool, min(count, limits.get(pool, 0))) for pool, count in counts.items())
+    return {pool: count for pool, count in lower if count > 0}
 
 
 def _no_quota(pool: str) -> int:
--- a/src/hibiscushaven/slots/node.py
+++ b/src/hibiscushaven/slots/node.py
@@ -217,9 +217,9 @@
             return
         answers = []
         for values in message.items:
-            item = RenewalItem(*values[:4])
+            item = RenewalItem(*values[:5])
             if item.service in self._services:
-                answer = self._lend(now, sender, message.seq, item)
+                answer = self._lend(now, sender, message.seq, item, len(values) < 5)
                 if answer is not None:
                     answers.append(answer.packed)
         if answers:
@@ -227,8 +227,17 @@
             yield Outgoing(sender.endpoint, answer)
 
     def _lend(
-        self, now: float, borrower: PeerIdentity, seq: int, item: RenewalItem
+        self,
+        now: float,
+        borrower: PeerIdentity,
+        seq: int,
+        item: RenewalItem,
+        is_untold: bool,
     ) -> AnswerItem | None:
+        """Take a statement and grant.
+
+        :param is_untold: the borrower does not tell long work from short.
+        """
         shards = self._shards_of((borrower.vm, borrower.incarnation), self._view)
         inventory = self._inventory.services.get(item.service)
         service = self._services[item.service]
@@ -244,7 +253,8 @@
             return -(-count * len(shards & every) // len(every))
 
         hold_s = self._inventory.longest_s(item.service)
-        return service.lender.renew(now, borrower.incarnation, seq, item, hold_s, quota)
+        short_s = hold_s if is_untold else self._inventory.longest_short_s(item.service)
+        return service.lender.renew(now, borrower.incarnation, seq, item, hold_s, quota, short_s)
 
     def _on_answer(
         self, now: float, sender: PeerIdentity, message: LoanAnswer
@@ -252,7 +262,7 @@
         """Take grants; acknowledge new ones at once, so that the lender knows what is kept."""
         is_changed = False
         for values in message.items:
-            item = AnswerItem(*values[:5])
+            item = AnswerItem(*values[:7])
             service = self._services.get(item.service)
             if service is not None:
                 borrower = service.borrower
--- a/src/hibiscushaven/slots/service.py
+++ b/src/hibiscushaven/slots/service.py
@@ -17,11 +17,13 @@
 
     :ivar lender: incarnation of its home, ``None`` for this VM.
     :ivar epoch: the loan's or the VM's epoch; a lapse in between voids the token.
+    :ivar is_long: whether it counts as used for long work at the borrower.
     """
 
     pool: str
     lender: str | None
     epoch: int
+    is_long: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +96,7 @@
             source = self._source(now, pool, deadline, own_epoch)
             if source is None:
                 self.release(tuple(sources))
+                self._note_missed(now, pools, deadline, own_epoch is not None)
                 return None
             sources.append(source)
             self._in_use[pool] = self.in_use(pool) + 1
@@ -104,7 +107,7 @@
             if source.lender is None:
                 self.lender.end_use(source.pool)
             else:
-                self.borrower.release(source.lender, source.pool)
+                self.borrower.release(source.lender, source.pool, source.is_long)
             left = self._in_use[source.pool] - 1
             if left:
                 self._in_use[source.pool] = left
@@ -118,9 +121,8 @@
                 yield own_until if source.epoch == own_epoch else float("-inf")
                 continue
             loan = self.borrower.loans[source.lender]
-            is_valid = source.epoch == loan.epoch and token.deadline <= (
-                loan.expires_at + loan.hold_s
-            )
+            hold_s = loan.hold_s if source.is_long else loan.short_s
+            is_valid = source.epoch == loan.epoch and token.deadline <= loan.expires_at + hold_s
             yield loan.expires_at if is_valid else float("-inf")
 
     def _source(
@@ -129,10 +131,18 @@
         if own_epoch is not None and self.lender.spare(pool) > 0:
             self.lender.use(pool)
             return Source(pool, None, own_epoch)
-        lender = self.borrower.acquire(now, pool, deadline)
-        if lender is None:
+        borrowed = self.borrower.acquire(now, pool, deadline)
+        if borrowed is None:
             return None
-        return Source(pool, lender, self.borrower.loans[lender].epoch)
+        lender, is_long = borrowed
+        return Source(pool, lender, self.borrower.loans[lender].epoch, is_long)
+
+    def _note_missed(
+        self, now: float, pools: tuple[str, ...], deadline: float, is_own_valid: bool
+    ) -> None:
+        for pool in pools:
+            if not is_own_valid or self.lender.spare(pool) <= 0:
+                self.borrower.note_missed(now, pool, deadline)
 
 
 def pools_for(pool: str) -> tuple[str, ...]:
--- a/src/hibiscushaven/slots/tests/faults.py
+++ b/src/hibiscushaven/slots/tests/faults.py
@@ -4,7 +4,7 @@
 
 from hibiscushaven.documents import State
 
-from .simulation import World, document, with_state
+from .simulation import World, with_state
 
 __all__ = ["BEGIN_S", "END_S", "FAULTS", "inject"]
 
@@ -84,7 +84,7 @@
     The longer pause ends when the successor may already use the tokens at home there.
     """
     old = world.vms[first]
-    world.pause(first, world.rng.choice((2.5, 9.5)))
+    world.pause(first, world.rng.choice((2.5, 6.5 + world.longest_s)))
     world.ghosts.append(old)
     old.next_step = float("inf")  # it does not reach the table any more
     world.at(world.now + 0.1, lambda: world.start_vm(first))
@@ -146,11 +146,11 @@
 
 @fault
 def fewer_slots(world: World, first: str, second: str) -> None:
-    world.set_document(document(slots=2, capacity=world.rng.choice((3, 6))))
-    world.at(END_S, lambda: world.set_document(document(capacity=world.capacity)))
+    world.set_document(world.new_document(slots=2, capacity=world.rng.choice((3, 6))))
+    world.at(END_S, lambda: world.set_document(world.new_document()))
 
 
 @fault
 def leaving_servers(world: World, first: str, second: str) -> None:
-    world.set_document(with_state(document(capacity=world.capacity), State.LEAVING))
-    world.at(END_S, lambda: world.set_document(document(capacity=world.capacity)))
+    world.set_document(with_state(world.new_document(), State.LEAVING))
+    world.at(END_S, lambda: world.set_document(world.new_document()))
--- a/src/hibiscushaven/slots/tests/simulation.py
+++ b/src/hibiscushaven/slots/tests/simulation.py
@@ -16,22 +16,37 @@
 SERVICE = "stock"
 SHARD = Shard(SERVICE)
 LONGEST_S = 3.0
+SHORT_S = 0.5
 TICK_S = 0.25
-
-
-def document(slots: int = 4, capacity: int = 6, servers: int = 2, extra: str = ""):
-    """Return a document of one place and class."""
+# Two loan terms, the longest short deadline, the margin and a tick, after a VM died.
+RECOVERY_S = 4.0 + SHORT_S + 0.5 + TICK_S
+
+
+def document(
+    slots: int = 4,
+    capacity: int = 6,
+    servers: int = 2,
+    extra: str = "",
+    longest_s: float = LONGEST_S,
+):
+    """Return a document of one place, with a class of short and one of long work."""
     text = f"""
         [service]
         name = {SERVICE}
         tenant = shops
         team = a
-        [class all]
+        [class downloads]
+        path = /d/*
+        methods = GET
+        idempotent = yes
+        size = long
+        deadline_ms = {int(longest_s * 1000)}
+        [class lookups]
         path = /*
         methods = GET
         idempotent = yes
         size = short
-        deadline_ms = {int(LONGEST_S * 1000)}
+        deadline_ms = {int(SHORT_S * 1000)}
         [place p]
         region = r
         failure_domain = d
@@ -102,11 +117,12 @@
     platform: MemoryPlatform = field(default_factory=MemoryPlatform)
     capacity: int = 8
     load: float = 0.95
+    longest_s: float = LONGEST_S
     bytes_sent: Counter = field(default_factory=Counter)
 
     def __post_init__(self) -> None:
         self.rng = random.Random(self.seed)
-        self.document = document(capacity=self.capacity)
+        self.document = self.new_document()
         self.events: list = []
         self.numbers = 0
         self.vms: dict[str, Vm] = {}
@@ -115,11 +131,15 @@
         self.gone: set[str] = set()
         self.ghosts: list[Vm] = []
         self.starts = 0
+        self.ended: list[tuple[float, str]] = []
         self.limits = [(0.0, self.document)]
         for number in range(self.size):
             self.start_vm(f"vm{number}")
         self.list_vms()
 
+    def new_document(self, **limits: int) -> ServiceDocument:
+        return document(**{"capacity": self.capacity, "longest_s": self.longest_s, **limits})
+
     def at(self, time: float, action: Callable[[], None]) -> None:
         self.numbers += 1
         heapq.heappush(self.events, (time, self.numbers, action))
@@ -141,6 +161,7 @@
 
     def crash(self, name: str) -> None:
         self.vms[name].is_alive = False
+        self.ended.append((self.now, self.vms[name].identity.incarnation))
 
     def pause(self, name: str, seconds: float) -> None:
         vm = self.vms[name]
@@ -276,7 +297,8 @@
 
     def _request(self, vm: Vm, server: str) -> bool:
         now = vm.now(self)
-        seconds = self.rng.choice((0.3, LONGEST_S, self.rng.uniform(0.05, LONGEST_S)))
+        longest = self.longest_s
+        seconds = self.rng.choice((SHORT_S, longest, self.rng.uniform(0.05, longest)))
         token = vm.slots.acquire(now, SERVICE, server, now + seconds)
         if token is None:
             return False
@@ -297,10 +319,19 @@
         self.check()
         self.defer(vm, seconds, lambda: vm.slots.release(vm.now(self), token))
 
+    def check_accounts(self) -> None:
+        """Assert that lenders wait for a dead borrower's long work alone once short has ended."""
+        for ended, incarnation in self.ended:
+            for vm in self.live():
+                account = vm.slots._services[SERVICE].lender._accounts.get(incarnation)
+                if account is not None and self.now >= ended + RECOVERY_S:
+                    case = f"seed {self.seed} at {self.now:.2f}: {account}"
+                    assert account.bound == account.bound_long, case
+
     def check(self) -> None:
         """Assert that no server and no place has more in progress than it may."""
         recent = [self.document]
-        recent += [item for ended, item in self.limits if self.now - ended < 2 + LONGEST_S]
+        recent += [item for ended, item in self.limits if self.now - ended < 2 + self.longest_s]
         counts = Counter(use.server for use in self.uses)
         for name, count in counts.items():
             slots = max(s.slots for item in recent for s in item.servers if s.name == name)
--- a/src/hibiscushaven/slots/tests/test_loans.py
+++ b/src/hibiscushaven/slots/tests/test_loans.py
@@ -10,7 +10,8 @@
 
 POOL = "10.9.0.1:80"
 TOKENS = 3
-HOLD_S = 2.0
+HOLD_S = 6.0
+SHORT_S = 0.4
 STEP_S = 0.1
 
 
@@ -87,7 +88,7 @@
         count = TOKENS if party is self.owner else 0
         now = self.now + self.lender.offset
         lender = self.lender.slots.lender
-        answer = lender.renew(now, party.name, seq, item, HOLD_S, lambda pool: count)
+        answer = lender.renew(now, party.name, seq, item, HOLD_S, lambda pool: count, SHORT_S)
         if answer is not None:
             self.post(lambda: self.receive(party, seq, answer))
 
@@ -98,7 +99,7 @@
             party.slots.borrower.on_answer("lender", seq, answer)
 
     def request(self, party: Party, now: float) -> bool:
-        deadline = now + self.rng.choice((0.3, HOLD_S, self.rng.uniform(0.1, HOLD_S)))
+        deadline = now + self.rng.choice((SHORT_S, HOLD_S, self.rng.uniform(0.1, HOLD_S)))
         sources = party.slots.acquire(now, (POOL,), deadline, None)
         if sources is None:
             return False
