Serve locally what is lost twice on its way to other failure domains

Cause: for about 7 s after a cut, requests went on to failure domains that could not be reached, up to three in a row; each try took the time of a connection. Ruled out: shorter digests limits, since the gaps between digests reach 3 s. Change: a gateway that could not be reached is left out for 2 s, and the last of three ways is the own place.

--- a/src/hibiscushaven/entry/neighbours.py
+++ b/src/hibiscushaven/entry/neighbours.py
@@ -17,6 +17,7 @@
 # Every listed failure domain counts as reachable for so long after the first list: relays
 # change while the first heartbeats arrive, and digests come with gaps.
 _FIRST_DIGEST_S = 15.0
+_AVOID_S = 2.0
 
 
 class Neighbours:
@@ -26,6 +27,7 @@
         self._membership = membership
         self._clock = clock
         self._listed_at: float | None = None
+        self._avoided: dict[Endpoint, float] = {}
 
     @property
     def domain(self) -> str:
@@ -58,12 +60,28 @@
         return domain in self.reachable_domains()
 
     def gateway(self, domain: str, rng: random.Random) -> Endpoint | None:
-        """Return a VM of another failure domain to relay to."""
+        """Return a VM of another failure domain to relay to.
+
+        VMs that just could not be reached are left out: each try costs up to the time that
+        a connection takes, which short requests do not have twice.
+        """
         digest = self._membership.domains.get(domain)
-        if digest is not None and digest.relays:
-            return rng.choice(digest.relays)
-        listed = [Endpoint(item.host, item.peer_port) for item in self._live(domain)]
-        return rng.choice(listed) if listed else None
+        relays = digest.relays if digest is not None else ()
+        listed = tuple(Endpoint(item.host, item.peer_port) for item in self._live(domain))
+        for candidates in (relays, listed):
+            usable = [item for item in candidates if not self._is_avoided(item)]
+            if usable:
+                return rng.choice(usable)
+        return None
+
+    def note_unreachable(self, endpoint: Endpoint) -> None:
+        """Leave out a VM as a gateway for a moment."""
+        now = self._clock.now()
+        self._avoided = {item: until for item, until in self._avoided.items() if until > now}
+        self._avoided[endpoint] = now + _AVOID_S
+
+    def _is_avoided(self, endpoint: Endpoint) -> bool:
+        return self._avoided.get(endpoint, 0.0) > self._clock.now()
 
     def state_of(self, vm: str) -> MemberState | None:
         """Return the state of a VM of the own failure domain."""
--- a/src/hibiscushaven/entry/router.py
+++ b/src/hibiscushaven/entry/router.py
@@ -105,8 +105,8 @@
         """
         self._routes.note_arrival(item)
         may_have_run = False
-        for _ in range(_MAX_ROUTES):
-            domain = self._routes.choose_domain(item)
+        for number in range(_MAX_ROUTES):
+            domain = self._routes.choose_domain(item, number == _MAX_ROUTES - 1)
             if domain is None:
                 return Error(_with_doubt(self._routes.no_place(item), may_have_run))
             try:
--- a/src/hibiscushaven/entry/routes.py
+++ b/src/hibiscushaven/entry/routes.py
@@ -34,6 +34,7 @@
 _LOG = logging.getLogger(__name__)
 _OWNER_CHANGED = "owner-changed"
 _NO_OWNER = "no-owner"
+_NO_GATEWAY = "no-gateway"
 _RETRY_NO_OWNER_S = 1.0
 _RETRY_LINK_FULL_S = 1.0
 
@@ -61,12 +62,18 @@
         self._relay = relay
         self._rng = rng
 
-    def choose_domain(self, item: ClassifiedRequest) -> str | None:
+    def choose_domain(self, item: ClassifiedRequest, is_last: bool = False) -> str | None:
         """Return the failure domain whose place takes a request, or ``None``.
 
         A request that is sent another way follows the shares again, so that a lost way moves
-        no more traffic than the shift cap allows.
+        little more traffic than the shift cap allows. The last way is the own place: what is
+        lost twice is a small part of the traffic, and a failure domain that has just been
+        cut off serves its own callers before it knows.
         """
+        document = item.entry.document
+        own = document.places_by_domain.get(self._neighbours.domain)
+        if is_last and own is not None and not own.is_leaving:
+            return self._neighbours.domain
         return self._steering.choose(item.request.service)
 
     def note_arrival(self, item: ClassifiedRequest) -> None:
@@ -150,6 +157,8 @@
                 raise RouteError(Outcome.NOT_RUN, _OWNER_CHANGED, _RETRY_NO_OWNER_S)
         else:
             endpoint = self._neighbours.gateway(request.place, self._rng)
+            if endpoint is None:
+                raise RouteError(Outcome.NOT_RUN, _NO_GATEWAY, None, is_route_lost=True)
         if endpoint is None:
             raise RouteError(Outcome.NOT_RUN, _NO_OWNER, _RETRY_NO_OWNER_S)
         return await self._send_on(endpoint, request, deadline, is_long)
@@ -163,6 +172,8 @@
             response = await self._relay.request(endpoint, lane, request, loop_deadline)
         except RelayError as error:
             is_lost = error.retry_after_s is None
+            if is_lost:
+                self._neighbours.note_unreachable(endpoint)
             raise RouteError(error.outcome, error.reason, error.retry_after_s, is_lost) from error
         return CallerAnswer(response.status, response.headers, response, close=response.close)
 
--- a/src/hibiscushaven/entry/tests/test_router.py
+++ b/src/hibiscushaven/entry/tests/test_router.py
@@ -27,7 +27,7 @@
     def note_arrival(self, item) -> None:
         return None
 
-    def choose_domain(self, item) -> str | None:
+    def choose_domain(self, item, is_last=False) -> str | None:
         return "domain" if self._errors[0] is not None else None
 
     def no_place(self, item) -> Problem:
