Take the order of connections and the collector out of golden sessions

Cause: one golden session differed in a whole run and passed alone. Sets of connections and tasks are ordered by address, and the garbage collector closes abandoned generators at moments that depend on what ran before in the process. Change: insertion order everywhere, and no collection within a session.

--- a/src/hibiscushaven/delivery/relay_watch.py
+++ b/src/hibiscushaven/delivery/relay_watch.py
@@ -60,13 +60,14 @@
         self._make_message = make_message
         self._on_silent = on_silent
         self._interval_s = interval_s
-        self._used: set[PeerLink] = set()
+        # In order of use, so that equal runs drop connections in the same order.
+        self._used: dict[PeerLink, None] = {}
         self._unheard: dict[PeerLink, int] = {}
         self._task: asyncio.Task[None] | None = None
 
     def use(self, link: PeerLink) -> None:
         """Note that an exchange began on a connection."""
-        self._used.add(link)
+        self._used[link] = None
         if self._task is None or self._task.done():
             self._task = asyncio.create_task(self._run())
 
@@ -76,7 +77,7 @@
 
     def forget(self, link: PeerLink) -> None:
         """Note that a connection ended."""
-        self._used.discard(link)
+        self._used.pop(link, None)
         self._unheard.pop(link, None)
 
     def stop(self) -> None:
--- a/src/hibiscushaven/entry/mail.py
+++ b/src/hibiscushaven/entry/mail.py
@@ -24,7 +24,7 @@
     def __init__(self, hub: PeerHub) -> None:
         self._hub = hub
         self._waiting: dict[Endpoint, list[Message]] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: dict[asyncio.Task[None], None] = {}
 
     def post_all(self, items: tuple[Outgoing, ...]) -> None:
         """Send messages to their peers."""
@@ -44,8 +44,8 @@
             return
         self._waiting[endpoint] = [item]
         task = asyncio.create_task(self._connect(endpoint))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks[task] = None
+        task.add_done_callback(lambda done: self._tasks.pop(done, None))
 
     async def close(self) -> None:
         for task in self._tasks:
--- a/src/hibiscushaven/entry/shard_runner.py
+++ b/src/hibiscushaven/entry/shard_runner.py
@@ -166,7 +166,7 @@
         self._servers: dict[str, Server] = {}
         self._jobs: dict[str, Job] = {}
         self._attempts: dict[str, _Attempt] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: dict[asyncio.Task[None], None] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._slowest_heads: dict[str, DecayingMaximum] = {}
 
@@ -462,6 +462,6 @@
 
     def _spawn(self, work) -> asyncio.Task[None]:
         task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks[task] = None
+        task.add_done_callback(lambda done: self._tasks.pop(done, None))
         return task
--- a/src/hibiscushaven/links/budget.py
+++ b/src/hibiscushaven/links/budget.py
@@ -105,7 +105,7 @@
         self._share = fixed_share(vm_count)
         self._asked = WindowMin(HOLD_S)
         self._last_asked = self._share
-        self._open: set[Reservation] = set()
+        self._open: dict[Reservation, None] = {}
         self._recent: deque[tuple[float, int, int]] = deque()
         self._recent_bytes = 0
         self._uncovered_bytes = 0
@@ -168,7 +168,7 @@
         if self._used() + rate > self._limit(use):
             return None
         reservation = Reservation(use, size, rate)
-        self._open.add(reservation)
+        self._open[reservation] = None
         return reservation
 
     def charge(self, now: float, reservation: Reservation, size: int) -> float:
@@ -194,7 +194,7 @@
         if missing > 0:
             self.charge(now, reservation, missing)
         reservation.is_settled = True
-        self._open.discard(reservation)
+        self._open.pop(reservation, None)
 
     @property
     def _rate(self) -> float:
--- a/src/hibiscushaven/peers/hub.py
+++ b/src/hibiscushaven/peers/hub.py
@@ -103,7 +103,7 @@
         self._server: asyncio.Server | None = None
         self._links: dict[tuple[Endpoint, Lane], PeerLink] = {}
         self._dialing: dict[tuple[Endpoint, Lane], asyncio.Task[PeerLink]] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: dict[asyncio.Task[None], None] = {}
 
     @property
     def identity(self) -> PeerIdentity:
@@ -266,8 +266,8 @@
 
     def _spawn(self, work: Awaitable[None]) -> None:
         task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks[task] = None
+        task.add_done_callback(lambda done: self._tasks.pop(done, None))
 
 
 def _idle_timeout(lane: Lane) -> float | None:
--- a/tests/golden/world.py
+++ b/tests/golden/world.py
@@ -1,6 +1,7 @@
 """A session: entry VMs, platform, backend servers and callers on virtual time."""
 
 import asyncio
+import gc
 import hashlib
 import json
 from collections import Counter
@@ -266,6 +267,12 @@
             world.totals()
             await world.end()
 
-    with asyncio.Runner(loop_factory=SessionLoop) as runner:
-        runner.run(run())
+    # Collections depend on what ran before in the process, and they close abandoned generators.
+    gc.collect()
+    gc.disable()
+    try:
+        with asyncio.Runner(loop_factory=SessionLoop) as runner:
+            runner.run(run())
+    finally:
+        gc.enable()
     return "\n".join(world.lines) + "\n"
