--- a/src/hibiscushaven/entry/resuming.py
+++ b/src/hibiscushaven/entry/resuming.py
@@ -5,7 +5,8 @@
 
 from hibiscushaven.delivery import AttemptError, CompleteBody, Headers, Stop
 
-from .shard_runner import BackendAnswer, Job, ShardRunner, WorkRefusedError
+from .jobs import BackendAnswer, Job, WorkRefusedError
+from .shard_runner import ShardRunner
 
 __all__ = ["run_complete"]
 
--- a/src/hibiscushaven/entry/routes.py
+++ b/src/hibiscushaven/entry/routes.py
@@ -20,13 +20,13 @@
 
 from .clock import Clock
 from .errors import RouteError
+from .jobs import Job, WorkRefusedError
 from .link_desk import LinkDesk, LinkFullError, MeteredBody
 from .neighbours import Neighbours
 from .owners import ShardOwners
 from .problems import Problem
 from .requests import CallerAnswer, ClassifiedRequest
 from .resuming import run_complete
-from .shard_runner import Job, WorkRefusedError
 from .steering import Steering
 
 __all__ = ["Routes"]
--- a/src/hibiscushaven/entry/tests/test_cancelled_attempts.py
+++ b/src/hibiscushaven/entry/tests/test_cancelled_attempts.py
@@ -6,7 +6,8 @@
 from hibiscushaven.dispatch import CancelAttempt, StartAttempt, Work
 from hibiscushaven.dispatch.actions import CancelReason
 from hibiscushaven.documents import Server, State
-from hibiscushaven.entry.shard_runner import Job, ShardRunner
+from hibiscushaven.entry.jobs import Job
+from hibiscushaven.entry.shard_runner import ShardRunner
 from hibiscushaven.ini.fields import Endpoint
 
 
--- a/src/hibiscushaven/entry/tests/test_resuming.py
+++ b/src/hibiscushaven/entry/tests/test_resuming.py
@@ -9,8 +9,9 @@
 from hibiscushaven.dispatch import DispatchConfig, Dispatcher, Work
 from hibiscushaven.documents import parse_document
 from hibiscushaven.entry.clock import SystemClock
+from hibiscushaven.entry.jobs import Job
 from hibiscushaven.entry.resuming import run_complete
-from hibiscushaven.entry.shard_runner import Job, ShardRunner
+from hibiscushaven.entry.shard_runner import ShardRunner
 from hibiscushaven.standins import BackendConfig, BackendStandIn
 from hibiscushaven.standins.content import content
 
--- a/src/hibiscushaven/entry/tests/test_shard_runner.py
+++ b/src/hibiscushaven/entry/tests/test_shard_runner.py
@@ -9,7 +9,8 @@
 from hibiscushaven.delivery import BackendClient
 from hibiscushaven.dispatch import DispatchConfig, Dispatcher, Work
 from hibiscushaven.entry.clock import SystemClock
-from hibiscushaven.entry.shard_runner import Job, ShardRunner
+from hibiscushaven.entry.jobs import Job
+from hibiscushaven.entry.shard_runner import ShardRunner
 from hibiscushaven.ini.fields import Endpoint
 from hibiscushaven.standins import BackendConfig, BackendStandIn
 
