Remove methods of the entry layer that nothing calls

Cause: earlier forms of the routes left two queries of neighbours, a limit of the shard runner and a logger behind.

--- a/src/hibiscushaven/entry/neighbours.py
+++ b/src/hibiscushaven/entry/neighbours.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 
 from hibiscushaven.ini.fields import Endpoint
-from hibiscushaven.membership import MembershipNode, MemberState
+from hibiscushaven.membership import MembershipNode
 from hibiscushaven.platform import VmEntry, VmState
 
 from .clock import Clock
@@ -56,9 +56,6 @@
             self._listed_at = now
         return self._listed_at is None or now - self._listed_at < _FIRST_DIGEST_S
 
-    def is_reachable(self, domain: str) -> bool:
-        return domain in self.reachable_domains()
-
     def gateway(self, domain: str, rng: random.Random) -> Endpoint | None:
         """Return a VM of another failure domain to relay to.
 
@@ -83,11 +80,6 @@
     def _is_avoided(self, endpoint: Endpoint) -> bool:
         return self._avoided.get(endpoint, 0.0) > self._clock.now()
 
-    def state_of(self, vm: str) -> MemberState | None:
-        """Return the state of a VM of the own failure domain."""
-        member = self._membership.view.members.get(vm)
-        return member.state if member is not None else None
-
     def _live(self, domain: str) -> Iterator[VmEntry]:
         return (
             item
--- a/src/hibiscushaven/entry/routes.py
+++ b/src/hibiscushaven/entry/routes.py
@@ -1,7 +1,6 @@
 """Ways from this VM to the owner of a shard, and the serving end of relayed requests."""
 
 import asyncio
-import logging
 import random
 from dataclasses import replace
 
@@ -31,7 +30,6 @@
 
 __all__ = ["Routes"]
 
-_LOG = logging.getLogger(__name__)
 _OWNER_CHANGED = "owner-changed"
 _NO_OWNER = "no-owner"
 _NO_GATEWAY = "no-gateway"
--- a/src/hibiscushaven/entry/shard_runner.py
+++ b/src/hibiscushaven/entry/shard_runner.py
@@ -102,10 +102,6 @@
         """Pass on a backend server's own report."""
         self._carry_out(self._dispatcher.load_report(self._clock.now(), server, in_progress, age_s))
 
-    def set_foreign_limit(self, limit: int | None) -> None:
-        """Limit the work of other failure domains."""
-        self._carry_out(self._dispatcher.set_foreign_limit(self._clock.now(), limit))
-
     def quarantined(self, now: float) -> Mapping[str, float]:
         """Return the fingerprints refused here, with the seconds that are left."""
         return self._dispatcher.crashes.export(now)
