--- a/src/hibiscushaven/bench/at_scale.py
+++ b/src/hibiscushaven/bench/at_scale.py
@@ -12,8 +12,8 @@
 from hibiscushaven.documents.publishing import DocumentPublisher
 from hibiscushaven.documents.rows import Operator, TeamRow, TeamToken, encode_heads, team_key
 from hibiscushaven.lookups import EntryVm, Fleet, LookupQuery, order_vms, prepare_fleet
-from hibiscushaven.platform import MemoryPlatform, VmEntry, Write
 from hibiscushaven.slots.roster import Roster, RosterMember
+from hibiscushaven.tablestore import MemoryPlatform, VmEntry, Write
 
 from .claims import measure_claims
 from .control import bench_document
--- a/src/hibiscushaven/bench/claims.py
+++ b/src/hibiscushaven/bench/claims.py
@@ -14,7 +14,7 @@
     Outcome,
     Pace,
 )
-from hibiscushaven.platform import MemoryPlatform
+from hibiscushaven.tablestore import MemoryPlatform
 
 from .faulty import FaultRates, FaultyTable
 from .virtual import run_virtual
--- a/src/hibiscushaven/bench/control.py
+++ b/src/hibiscushaven/bench/control.py
@@ -18,7 +18,7 @@
 from hibiscushaven.membership import MembershipNode
 from hibiscushaven.membership.messages import Digest
 from hibiscushaven.peers import PeerIdentity, encode
-from hibiscushaven.platform import MemoryPlatform, Write
+from hibiscushaven.tablestore import MemoryPlatform, Write
 
 from .measures import Bound, Finding, Scale, measure
 from .steering import _block_rows, load_blocks
--- a/src/hibiscushaven/bench/faulty.py
+++ b/src/hibiscushaven/bench/faulty.py
@@ -4,7 +4,7 @@
 import random
 from dataclasses import dataclass
 
-from hibiscushaven.platform import (
+from hibiscushaven.tablestore import (
     ConflictError,
     MemoryPlatform,
     OutcomeUnknownError,
--- a/src/hibiscushaven/bench/local_deployment.py
+++ b/src/hibiscushaven/bench/local_deployment.py
@@ -16,9 +16,9 @@
 from hibiscushaven.documents import ServiceDocument, parse_document
 from hibiscushaven.documents.distribution import DocumentPush
 from hibiscushaven.entry import EntryDaemon
-from hibiscushaven.platform import MemoryPlatform, Row, VmEntry, Write
 from hibiscushaven.settings import Deployment, load_deployment
 from hibiscushaven.standins import BackendStandIn
+from hibiscushaven.tablestore import MemoryPlatform, Row, VmEntry, Write
 
 __all__ = ["DEPLOYMENTS", "LocalDeployment", "SlowPlatform", "free_port", "running_deployment"]
 
--- a/src/hibiscushaven/bench/socket_entry.py
+++ b/src/hibiscushaven/bench/socket_entry.py
@@ -12,8 +12,8 @@
     encode_heads,
 )
 from hibiscushaven.entry import EntryDaemon
-from hibiscushaven.platform import MemoryPlatform, VmEntry, VmState, Write
 from hibiscushaven.settings import Settings
+from hibiscushaven.tablestore import MemoryPlatform, VmEntry, VmState, Write
 
 __all__ = ["HOST", "SERVER_HOSTS", "SERVICE", "SLOTS", "bench_document", "main"]
 
--- a/src/hibiscushaven/bench/sockets.py
+++ b/src/hibiscushaven/bench/sockets.py
@@ -11,7 +11,7 @@
 import aiohttp
 import click
 
-from hibiscushaven.entry.http_server import HttpServer
+from hibiscushaven.process import HttpServer
 from hibiscushaven.standins import BackendConfig, BackendStandIn
 
 from .http_load import LoadResult, run_load
--- a/src/hibiscushaven/bench/virtual_nodes.py
+++ b/src/hibiscushaven/bench/virtual_nodes.py
@@ -16,8 +16,8 @@
     decode,
     encode,
 )
-from hibiscushaven.platform import MemoryPlatform, VmEntry, VmState
 from hibiscushaven.settings import Settings
+from hibiscushaven.tablestore import MemoryPlatform, VmEntry, VmState
 
 __all__ = ["HTTP_PORT", "PEER_PORT", "Network", "VirtualClock", "make_node", "vm_entry"]
 
--- a/src/hibiscushaven/claims/batcher.py
+++ b/src/hibiscushaven/claims/batcher.py
@@ -5,7 +5,7 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 
-from hibiscushaven.platform import (
+from hibiscushaven.tablestore import (
     ConflictError,
     OutcomeUnknownError,
     PlatformError,
--- a/src/hibiscushaven/claims/keeper.py
+++ b/src/hibiscushaven/claims/keeper.py
@@ -7,7 +7,7 @@
 
 from expression import Error, Result
 
-from hibiscushaven.platform import Table
+from hibiscushaven.tablestore import Table
 
 from .batcher import BatchCounts, Batcher
 from .claim import Claim
--- a/src/hibiscushaven/claims/operations.py
+++ b/src/hibiscushaven/claims/operations.py
@@ -7,7 +7,7 @@
 
 from expression import Error, Ok, Result
 
-from hibiscushaven.platform import Row, Write
+from hibiscushaven.tablestore import Row, Write
 
 from .errors import ClaimError, TableUnavailableError
 from .model import ClaimRow, Replay, RowError, RowState
--- a/src/hibiscushaven/claims/tests/test_keeper.py
+++ b/src/hibiscushaven/claims/tests/test_keeper.py
@@ -26,7 +26,7 @@
     TableUnavailableError,
     WrongBodyError,
 )
-from hibiscushaven.platform import MemoryPlatform
+from hibiscushaven.tablestore import MemoryPlatform
 
 
 def keeper_on(platform: MemoryPlatform, incarnation: str = "a") -> ClaimKeeper:
--- a/src/hibiscushaven/claims/tests/test_schedules.py
+++ b/src/hibiscushaven/claims/tests/test_schedules.py
@@ -23,7 +23,7 @@
     Replay,
     WrongBodyError,
 )
-from hibiscushaven.platform import MemoryPlatform
+from hibiscushaven.tablestore import MemoryPlatform
 
 SEEDS = 200
 BODIES = ("body", "other")
--- a/src/hibiscushaven/claims/verdicts.py
+++ b/src/hibiscushaven/claims/verdicts.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from hibiscushaven.platform import Row
+from hibiscushaven.tablestore import Row
 
 from .errors import ClaimError, InProgressError, WrongBodyError
 from .model import ClaimRow, Holder, Replay, RowState
--- a/src/hibiscushaven/commands/demo.py
+++ b/src/hibiscushaven/commands/demo.py
@@ -5,10 +5,11 @@
 
 import click
 
-from hibiscushaven.entry import EntryDaemon, on_stop
+from hibiscushaven.entry import EntryDaemon
 from hibiscushaven.logs import configure_logs
-from hibiscushaven.platform import MemoryPlatform
+from hibiscushaven.process import on_stop
 from hibiscushaven.settings import Deployment
+from hibiscushaven.tablestore import MemoryPlatform
 
 from .backends import close_backends, start_backends
 from .loading import load_documents
--- /dev/null
+++ b/src/hibiscushaven/commands/gateway.py
@@ -0,0 +1,41 @@
+"""The command that runs the gateway of an entry VM on the users' platform."""
+
+import asyncio
+
+import click
+
+from .output import EXIT_USAGE, fail_with_problems, listen_errors
+
+__all__ = ["gateway"]
+
+
+@click.command()
+@click.option(
+    "--settings",
+    "path",
+    required=True,
+    envvar="HIBISCUSHAVEN_CONFIG",
+    type=click.Path(dir_okay=False),
+    help="Settings of the VM.",
+)
+@click.option("--check", is_flag=True, help="Check the settings and exit.")
+def gateway(path: str, check: bool) -> None:
+    """Run the gateway of one entry VM until SIGTERM.
+
+    Backend servers and operators are found through the platform's store. At SIGTERM the VM gets
+    no new callers and finishes the requests in progress.
+
+    Exit code 2 means that the settings are wrong, 1 that an address cannot be used.
+    """
+    from hibiscushaven.gateway.settings import load_gateway_settings
+
+    result = load_gateway_settings(path)
+    if result.is_error():
+        fail_with_problems(path, result.error, EXIT_USAGE)
+    if check:
+        click.echo(f"{path}: ok")
+        return
+    from hibiscushaven.platform import run_gateway
+
+    with listen_errors():
+        asyncio.run(run_gateway(result.ok, path))
--- a/src/hibiscushaven/commands/main.py
+++ b/src/hibiscushaven/commands/main.py
@@ -1,19 +1,42 @@
 """The ``hibiscushaven`` command and its subcommands."""
 
+from importlib import import_module
+
 import click
 
 from hibiscushaven import __version__
 
-from .calls import lookup, metrics, request, status
-from .demo import demo
-from .document import document
-from .entry import entry
-from .standin import standin
-
 __all__ = ["main"]
 
+# Module of this package and name of each command. A daemon's start is charged to its VM, so
+# that a command is imported only when it is asked for.
+_COMMANDS = {
+    "demo": ("demo", "demo"),
+    "document": ("document", "document"),
+    "entry": ("entry", "entry"),
+    "gateway": ("gateway", "gateway"),
+    "lookup": ("calls", "lookup"),
+    "metrics": ("calls", "metrics"),
+    "request": ("calls", "request"),
+    "standin": ("standin", "standin"),
+    "status": ("calls", "status"),
+}
+
+
+class _LazyGroup(click.Group):
+    """A group whose commands are imported when they are used."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return sorted(_COMMANDS)
 
-@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        if cmd_name not in _COMMANDS:
+            return None
+        module, name = _COMMANDS[cmd_name]
+        return getattr(import_module(f"hibiscushaven.commands.{module}"), name)
+
+
+@click.command(cls=_LazyGroup, context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(__version__)
 def main() -> None:
     """Steer traffic between callers and backend servers.
@@ -21,7 +44,3 @@
     Commands that call an entry VM take its address from --entry or HIBISCUSHAVEN_ENTRY, and a
     bearer token from --token-file or HIBISCUSHAVEN_TOKEN.
     """
-
-
-for _command in (demo, document, entry, lookup, metrics, request, standin, status):
-    main.add_command(_command)
--- a/src/hibiscushaven/commands/standin.py
+++ b/src/hibiscushaven/commands/standin.py
@@ -12,10 +12,10 @@
 
 from hibiscushaven.documents import ServiceDocument, parse_document
 from hibiscushaven.documents.rows import TeamRow, TeamToken
-from hibiscushaven.entry import on_stop
-from hibiscushaven.platform import MemoryPlatform, Write
+from hibiscushaven.process import on_stop
 from hibiscushaven.settings import Deployment, load_deployment
 from hibiscushaven.standins import run_platform
+from hibiscushaven.tablestore import MemoryPlatform, Write
 
 from .backends import run_document_backends
 from .loading import load_documents
--- a/src/hibiscushaven/delivery/__init__.py
+++ b/src/hibiscushaven/delivery/__init__.py
@@ -3,6 +3,7 @@
 from .attempts import AttemptHead, AttemptRequest
 from .bodies import CompleteBody, Resume
 from .client import BackendClient, ClientTimeouts
+from .dialect import Dialect, NativeDialect
 from .headers import Headers, end_to_end, find_header
 from .outcome import AttemptError, Outcome, Stop, outcome_of
 from .passing import pass_on
@@ -17,7 +18,9 @@
     "BackendClient",
     "ClientTimeouts",
     "CompleteBody",
+    "Dialect",
     "Headers",
+    "NativeDialect",
     "Outcome",
     "RelayClient",
     "RelayError",
--- a/src/hibiscushaven/delivery/attempts.py
+++ b/src/hibiscushaven/delivery/attempts.py
@@ -17,6 +17,10 @@
 _OnEnd = Callable[[Stop | None], Awaitable[None]]
 
 
+# A refusal that has arrived whole leaves its connection fit for the next request.
+_CLEAN_STOPS = frozenset({None, Stop.REFUSED, Stop.MISDIRECTED})
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptRequest:
     """A request as it is sent to a backend server.
@@ -30,6 +34,8 @@
     :ivar head_timeout_s: time without a byte before the response; the client's progress
         timeout if ``None``. A class whose requests run longer needs a longer one.
     :ivar tenant: attempts of different tenants share no connection.
+    :ivar server_id: the only backend server that may run it, if its address may have been
+        given to another one.
     """
 
     server: Endpoint
@@ -44,6 +50,7 @@
     guard: Callable[[], bool] = lambda: True
     head_timeout_s: float | None = None
     tenant: str = ""
+    server_id: str = ""
 
 
 class AttemptHead:
@@ -70,6 +77,8 @@
         self._request = request
         self._progress_timeout_s = progress_timeout_s
         self._on_end: _OnEnd | None = on_end
+        connection = response.connection
+        self._protocol = connection.protocol if connection is not None else None
         self._is_chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
 
     @property
@@ -145,15 +154,26 @@
     def _check_length(self) -> None:
         expected = self.content_length
         is_head = self._request.method == "HEAD" or self.status in (204, 304)
+        if not (is_head or self.is_delimited):
+            self._check_end_of_connection()
         if expected is None or is_head or expected == self.bytes_received:
             return
         raise AttemptError(Stop.TRUNCATED, f"{self.bytes_received} of {expected} bytes")
 
+    def _check_end_of_connection(self) -> None:
+        """Refuse a body without a length whose connection was reset.
+
+        aiohttp takes any end of the connection for the end of such a body.
+        """
+        error = self._protocol.exception() if self._protocol is not None else None
+        if error is not None and not isinstance(error, aiohttp.ServerDisconnectedError):
+            raise AttemptError(Stop.TRUNCATED, f"{self.bytes_received} bytes: {error!r}")
+
     async def _finish(self, stop: Stop | None) -> None:
         if self._on_end is None:
             return
         on_end, self._on_end = self._on_end, None
-        if self._response.content.at_eof() and stop is None:
+        if self._response.content.at_eof() and stop in _CLEAN_STOPS:
             self._response.release()
         else:
             self._response.close()
--- a/src/hibiscushaven/delivery/client.py
+++ b/src/hibiscushaven/delivery/client.py
@@ -15,8 +15,9 @@
 from hibiscushaven.ini.fields import Endpoint
 
 from .attempts import AttemptHead, AttemptRequest
-from .headers import end_to_end, find_header
-from .outcome import AttemptError, Outcome, Stop
+from .dialect import Dialect, NativeDialect
+from .headers import end_to_end
+from .outcome import AttemptError, Stop
 from .pools import NotSentError, Pool, Transmission
 
 __all__ = ["BackendClient", "ClientTimeouts"]
@@ -26,14 +27,11 @@
 _TARGET = re.compile(r"/[!-\"$-~\x80-\uffff]*")
 _HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
-_BODILESS_STATUSES = frozenset({204, 304})
 _MAX_CONTROL_BYTES = 16 * 1024
 _DEFAULT_CONNECTIONS = 64
 _NOT_FOUND = 404
 # Set by the client itself; a caller's value would contradict it.
-_OWN_REQUEST_HEADERS = frozenset(
-    {"content-length", "expect", "attempt-id", "request-deadline-ms", "start-by"}
-)
+_OWN_REQUEST_HEADERS = frozenset({"content-length", "expect"})
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,14 +70,17 @@
 
     :param connection_limit: most connections to a server, from the document; a changed value
         is used from the next request on.
+    :param dialect: headers that the backend servers understand.
     """
 
     def __init__(
         self,
         connection_limit: Callable[[Endpoint], int] = lambda server: _DEFAULT_CONNECTIONS,
         timeouts: ClientTimeouts | None = None,
+        dialect: Dialect | None = None,
     ) -> None:
         self._connection_limit = connection_limit
+        self._dialect = dialect or NativeDialect()
         self._timeouts = timeouts or ClientTimeouts()
         self._pools: dict[tuple[str, Endpoint], Pool] = {}
         self._retirements: set[asyncio.Task[None]] = set()
@@ -108,7 +109,7 @@
             partial(self._end, pool),
         )
         try:
-            _check_head(head, request)
+            self._dialect.check_head(head, request)
         except AttemptError as error:
             await head.close(error.stop)
             raise
@@ -192,7 +193,7 @@
     ) -> aiohttp.ClientResponse:
         try:
             async with asyncio.timeout_at(request.deadline):
-                return await _open(session, request, transmission, self._timeouts)
+                return await _open(session, request, transmission, self._timeouts, self._dialect)
         except BaseException as error:
             stop = _stop_of(error, transmission)
             is_suspect = stop is Stop.DEADLINE and transmission.is_reused
@@ -218,6 +219,7 @@
     request: AttemptRequest,
     transmission: Transmission,
     timeouts: ClientTimeouts,
+    dialect: Dialect,
 ) -> aiohttp.ClientResponse:
     head_timeout_s = request.head_timeout_s or timeouts.progress
     timeout = aiohttp.ClientTimeout(
@@ -226,7 +228,7 @@
     response = await session.request(
         request.method,
         URL(f"http://{request.server}{request.target}", encoded=True),
-        headers=_request_headers(request),
+        headers=_request_headers(request, dialect),
         data=request.body or None,
         allow_redirects=False,
         timeout=timeout,
@@ -255,39 +257,15 @@
             raise AttemptError(Stop.INVALID, f"header {name!r}")
 
 
-def _request_headers(request: AttemptRequest) -> list[tuple[str, str]]:
-    headers = [
-        item for item in end_to_end(request.headers) if item[0].lower() not in _OWN_REQUEST_HEADERS
-    ]
+def _request_headers(request: AttemptRequest, dialect: Dialect) -> list[tuple[str, str]]:
+    own = _OWN_REQUEST_HEADERS | dialect.own_headers
+    headers = [item for item in end_to_end(request.headers) if item[0].lower() not in own]
     now = asyncio.get_running_loop().time()
     left_ms = max(0, int((request.deadline - now) * 1000))
-    headers.append(("Attempt-Id", request.attempt_id))
-    headers.append(("Request-Deadline-Ms", str(left_ms)))
-    if request.start_by_unix_ms is not None:
-        headers.append(("Start-By", str(request.start_by_unix_ms)))
+    headers.extend(dialect.request_headers(request, left_ms))
     return headers
 
 
-def _check_head(head: AttemptHead, request: AttemptRequest) -> None:
-    """Refuse responses that belong to another attempt, that refuse, or that have no end."""
-    answered = find_header(head.headers, "Attempt-Id")
-    if answered != request.attempt_id:
-        detail = f"{request.server} answered {answered!r} to {request.attempt_id!r}"
-        raise AttemptError(Stop.WRONG_ATTEMPT_ID, detail)
-    outcome = find_header(head.headers, "Request-Outcome")
-    if head.status == 503 and outcome == Outcome.NOT_RUN:
-        raise AttemptError(Stop.REFUSED, f"{request.server} did not run it", _retry_after_s(head))
-    is_bodiless = request.method == "HEAD" or head.status in _BODILESS_STATUSES
-    if not (is_bodiless or head.is_delimited):
-        # Its end is the end of the connection, which also follows a crash.
-        raise AttemptError(Stop.MALFORMED, f"{request.server} sent a body without a length")
-
-
-def _retry_after_s(head: AttemptHead) -> float | None:
-    value = find_header(head.headers, "Retry-After")
-    return float(value) if value is not None and value.isdecimal() else None
-
-
 def _stop_of(error: BaseException, transmission: Transmission) -> Stop | None:
     """Return where an attempt stopped, or ``None`` for an error that is not its own."""
     if not isinstance(error, Exception):
--- a/src/hibiscushaven/delivery/outcome.py
+++ b/src/hibiscushaven/delivery/outcome.py
@@ -16,6 +16,7 @@
     GUARD_REFUSED = "guard-refused"
     DEADLINE_BEFORE_SENDING = "deadline-before-sending"
     REFUSED = "refused"
+    MISDIRECTED = "misdirected"
     DEADLINE = "deadline"
     CONNECTION_LOST = "connection-lost"
     SILENT = "silent"
@@ -57,7 +58,7 @@
     'unknown'
 
     """
-    if stop.is_before_sending or stop is Stop.REFUSED:
+    if stop.is_before_sending or stop in (Stop.REFUSED, Stop.MISDIRECTED):
         return Outcome.NOT_RUN
     return Outcome.UNKNOWN
 
--- /dev/null
+++ b/src/hibiscushaven/discovery/__init__.py
@@ -0,0 +1,6 @@
+"""Backend servers that register themselves, and what a VM knows of them."""
+
+from .records import ServerRecord
+from .registry import LAPSE_GRACE_S, OUTAGE_S, KnownServer, Registry
+
+__all__ = ["LAPSE_GRACE_S", "OUTAGE_S", "KnownServer", "Registry", "ServerRecord"]
--- a/src/hibiscushaven/dispatch/__init__.py
+++ b/src/hibiscushaven/dispatch/__init__.py
@@ -1,5 +1,7 @@
 """Decision logic of the owner of a shard."""
 
+from hibiscushaven.quarantine import CrashLedger
+
 from .actions import (
     Action,
     CancelAttempt,
@@ -12,7 +14,6 @@
 )
 from .choice import CHOICES, ServerChoice, choice
 from .config import DispatchConfig
-from .crashes import CrashLedger
 from .dispatcher import Dispatcher, DispatchError, DuplicateWorkError
 from .ports import SlotSource, Token
 from .queues import QUEUES, QueuePolicy, queue
--- a/src/hibiscushaven/dispatch/admission.py
+++ b/src/hibiscushaven/dispatch/admission.py
@@ -5,10 +5,11 @@
 from collections import Counter
 from collections.abc import Callable, Iterator
 
+from hibiscushaven.quarantine import CrashLedger
+
 from .actions import RefusalReason
 from .attempts import AttemptBook
 from .config import DispatchConfig
-from .crashes import CrashLedger
 from .items import Item
 from .lanes import Lane
 from .long_limits import LongLimits
--- a/src/hibiscushaven/dispatch/dispatcher.py
+++ b/src/hibiscushaven/dispatch/dispatcher.py
@@ -6,6 +6,7 @@
 from heapq import heapify, heappop, heappush
 
 from hibiscushaven.documents import Server, ServiceDocument, Size, State
+from hibiscushaven.quarantine import CrashLedger
 
 from .actions import (
     Action,
@@ -19,7 +20,6 @@
 from .admission import Admission
 from .attempts import AttemptBook
 from .config import DispatchConfig
-from .crashes import CrashLedger
 from .health import HealthBook
 from .hedging import HedgePlanner
 from .items import Attempt, Item
--- a/src/hibiscushaven/dispatch/results.py
+++ b/src/hibiscushaven/dispatch/results.py
@@ -4,9 +4,9 @@
 from collections.abc import Iterator
 
 from hibiscushaven.documents import Size
+from hibiscushaven.quarantine import CrashLedger
 
 from .attempts import AttemptBook
-from .crashes import CrashLedger
 from .health import HealthBook
 from .items import Attempt
 from .servers import ServerState
--- a/src/hibiscushaven/dispatch/tests/test_crashes.py
+++ b/src/hibiscushaven/dispatch/tests/test_crashes.py
@@ -2,7 +2,7 @@
 
 from hibiscushaven.bench.shards import ORDER
 from hibiscushaven.dispatch import CrashLedger, Outcome, RefusalReason, ResultKind
-from hibiscushaven.dispatch.crashes import FINGERPRINT_LIMIT
+from hibiscushaven.quarantine.crashes import FINGERPRINT_LIMIT
 
 from .driver import Driver, refusals, starts
 
--- a/src/hibiscushaven/documents/distribution.py
+++ b/src/hibiscushaven/documents/distribution.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from hibiscushaven.peers import Message, message
-from hibiscushaven.platform import Table, UnavailableError
+from hibiscushaven.tablestore import Table, UnavailableError
 
 from .catalog import CatalogEntry, DocumentCatalog
 from .rows import HEADS_KEY, DocumentRow, DocumentRowError, Operator, decode_heads, document_key
--- a/src/hibiscushaven/documents/publishing.py
+++ b/src/hibiscushaven/documents/publishing.py
@@ -10,7 +10,7 @@
 from expression import Error, Ok, Result
 
 from hibiscushaven.ini import IniProblem
-from hibiscushaven.platform import (
+from hibiscushaven.tablestore import (
     ConflictError,
     OutcomeUnknownError,
     Row,
--- a/src/hibiscushaven/documents/tests/test_documents.py
+++ b/src/hibiscushaven/documents/tests/test_documents.py
@@ -21,7 +21,7 @@
     parse_document,
 )
 from hibiscushaven.peers import decode, encode
-from hibiscushaven.platform import MemoryPlatform, Write
+from hibiscushaven.tablestore import MemoryPlatform, Write
 
 from .samples import document_text
 
--- a/src/hibiscushaven/documents/tests/test_schedules.py
+++ b/src/hibiscushaven/documents/tests/test_schedules.py
@@ -22,7 +22,7 @@
     TeamRow,
 )
 from hibiscushaven.documents.rows import HistoryRow
-from hibiscushaven.platform import MemoryPlatform, Write
+from hibiscushaven.tablestore import MemoryPlatform, Write
 
 from .samples import document_text
 
--- a/src/hibiscushaven/entry/__init__.py
+++ b/src/hibiscushaven/entry/__init__.py
@@ -2,6 +2,5 @@
 
 from . import parts
 from .daemon import EntryDaemon, run_entry
-from .signals import on_stop
 
-__all__ = ["EntryDaemon", "on_stop", "parts", "run_entry"]
+__all__ = ["EntryDaemon", "parts", "run_entry"]
--- a/src/hibiscushaven/entry/callers.py
+++ b/src/hibiscushaven/entry/callers.py
@@ -13,10 +13,10 @@
 from hibiscushaven.delivery import AttemptError, RelayError
 from hibiscushaven.documents import DocumentCatalog
 from hibiscushaven.lookups import LookupAnswer
+from hibiscushaven.process import Clock
 
 from .bodies import read_body
 from .classify import classify
-from .clock import Clock
 from .problems import Problem, problem_response
 from .recorder import RequestRecorder
 from .requests import CallerAnswer, CallerRequest, ClassifiedRequest
--- a/src/hibiscushaven/entry/daemon.py
+++ b/src/hibiscushaven/entry/daemon.py
@@ -7,14 +7,13 @@
 
 from hibiscushaven.logs import configure_logs
 from hibiscushaven.operators import OperatorContext, TeamDirectory, operator_routes
-from hibiscushaven.platform import HttpPlatform, Platform
+from hibiscushaven.process import HttpServer, on_stop
 from hibiscushaven.settings import Settings
+from hibiscushaven.tablestore import HttpPlatform, Platform
 
 from .callers import CallerInterface
-from .http_server import HttpServer
 from .node import EntryNode
 from .ports import NodePorts
-from .signals import on_stop
 from .status import StatusInterface
 
 __all__ = ["EntryDaemon", "run_entry"]
--- a/src/hibiscushaven/entry/jobs.py
+++ b/src/hibiscushaven/entry/jobs.py
@@ -19,6 +19,7 @@
     Stop.DEADLINE_BEFORE_SENDING: ResultKind.NOT_SENT,
     Stop.GUARD_REFUSED: ResultKind.CANCELLED,
     Stop.REFUSED: ResultKind.REFUSED,
+    Stop.MISDIRECTED: ResultKind.REFUSED,
     Stop.DEADLINE: ResultKind.TIMED_OUT,
     Stop.SILENT: ResultKind.TIMED_OUT,
     Stop.CONNECTION_LOST: ResultKind.CRASHED,
--- a/src/hibiscushaven/entry/link_desk.py
+++ b/src/hibiscushaven/entry/link_desk.py
@@ -8,8 +8,8 @@
 from hibiscushaven.links import LinkBudget, LinkUse
 from hibiscushaven.links.budget import Reservation
 from hibiscushaven.membership import MembershipNode
+from hibiscushaven.process import Clock
 
-from .clock import Clock
 from .errors import EntryError
 from .neighbours import Neighbours
 from .requests import CallerAnswer
--- a/src/hibiscushaven/entry/look_up.py
+++ b/src/hibiscushaven/entry/look_up.py
@@ -16,7 +16,7 @@
     prepare_fleet,
 )
 from hibiscushaven.membership import MembershipNode, MemberState
-from hibiscushaven.platform import VmEntry, VmState
+from hibiscushaven.tablestore import VmEntry, VmState
 
 from .neighbours import Neighbours
 from .problems import Problem
--- a/src/hibiscushaven/entry/neighbours.py
+++ b/src/hibiscushaven/entry/neighbours.py
@@ -5,9 +5,8 @@
 
 from hibiscushaven.ini.fields import Endpoint
 from hibiscushaven.membership import MembershipNode
-from hibiscushaven.platform import VmEntry, VmState
-
-from .clock import Clock
+from hibiscushaven.process import Clock
+from hibiscushaven.tablestore import VmEntry, VmState
 
 __all__ = ["FRESH_DIGEST_S", "Neighbours"]
 
--- a/src/hibiscushaven/entry/node.py
+++ b/src/hibiscushaven/entry/node.py
@@ -14,9 +14,9 @@
 from hibiscushaven.membership import MembershipNode, MemberState
 from hibiscushaven.metrics import Metrics
 from hibiscushaven.peers import Message, PeerIdentity, PeerLink
-from hibiscushaven.platform import PlatformError
 from hibiscushaven.settings import Settings
 from hibiscushaven.slots import RosterKeeper, SlotNode
+from hibiscushaven.tablestore import PlatformError
 
 from .documents import KINDS, DocumentExchange
 from .gauges import refresh_gauges
--- a/src/hibiscushaven/entry/owners.py
+++ b/src/hibiscushaven/entry/owners.py
@@ -9,9 +9,9 @@
 from hibiscushaven.documents import CatalogEntry, DocumentCatalog, Server
 from hibiscushaven.ini.fields import Endpoint
 from hibiscushaven.membership import View
+from hibiscushaven.process import Clock
 from hibiscushaven.slots import Shard, SlotNode
 
-from .clock import Clock
 from .shard_runner import ShardRunner
 
 __all__ = ["ShardOwners"]
--- a/src/hibiscushaven/entry/ports.py
+++ b/src/hibiscushaven/entry/ports.py
@@ -8,9 +8,8 @@
 from hibiscushaven.delivery import BackendClient
 from hibiscushaven.ini.fields import Endpoint
 from hibiscushaven.peers import PeerHub
-from hibiscushaven.platform import Platform
-
-from .clock import Clock, SystemClock
+from hibiscushaven.process import Clock, SystemClock
+from hibiscushaven.tablestore import Platform
 
 __all__ = ["NodePorts"]
 
--- a/src/hibiscushaven/entry/router.py
+++ b/src/hibiscushaven/entry/router.py
@@ -18,8 +18,8 @@
 )
 from hibiscushaven.delivery import AttemptError, RelayError
 from hibiscushaven.outcomes import Outcome
+from hibiscushaven.process import Clock
 
-from .clock import Clock
 from .errors import RouteError
 from .problems import Problem
 from .requests import CallerAnswer, ClassifiedRequest
--- a/src/hibiscushaven/entry/routes.py
+++ b/src/hibiscushaven/entry/routes.py
@@ -16,8 +16,8 @@
 from hibiscushaven.documents import DocumentCatalog
 from hibiscushaven.ini.fields import Endpoint
 from hibiscushaven.peers import Lane, PeerLink
+from hibiscushaven.process import Clock
 
-from .clock import Clock
 from .errors import RouteError
 from .jobs import Job, WorkRefusedError
 from .link_desk import LinkDesk, LinkFullError, MeteredBody
--- a/src/hibiscushaven/entry/shard_runner.py
+++ b/src/hibiscushaven/entry/shard_runner.py
@@ -25,8 +25,8 @@
     StartAttempt,
 )
 from hibiscushaven.documents import Server, ServiceDocument
+from hibiscushaven.process import Clock
 
-from .clock import Clock
 from .jobs import RESULTS, BackendAnswer, Job, WorkRefusedError
 from .totals import DecayingMaximum
 
--- a/src/hibiscushaven/entry/steering.py
+++ b/src/hibiscushaven/entry/steering.py
@@ -5,9 +5,9 @@
 
 from hibiscushaven.documents import CatalogEntry, DocumentCatalog, ServiceDocument
 from hibiscushaven.membership import MembershipNode, combiner
+from hibiscushaven.process import Clock
 from hibiscushaven.shifts import ArrivalRates, Flows, ForeignAdmission, ShareRamp, plan_flows
 
-from .clock import Clock
 from .neighbours import Neighbours
 from .totals import DecayingMaximum
 
--- a/src/hibiscushaven/entry/tests/support.py
+++ b/src/hibiscushaven/entry/tests/support.py
@@ -8,11 +8,11 @@
 
 from hibiscushaven.documents import DocumentCatalog, parse_document
 from hibiscushaven.entry.callers import CallerInterface
-from hibiscushaven.entry.http_server import HttpServer
 from hibiscushaven.entry.problems import Problem
 from hibiscushaven.entry.recorder import RequestRecorder
 from hibiscushaven.entry.requests import CallerAnswer
 from hibiscushaven.metrics import Metrics
+from hibiscushaven.process import HttpServer
 
 TOKEN = "shop-token"
 TOKEN_SHA256 = "88cc4600551e64b7cb97dd7f63ebad405255e5d17bdd71ee9fe1ed5cc20d0b3b"
--- a/src/hibiscushaven/entry/tests/test_classify.py
+++ b/src/hibiscushaven/entry/tests/test_classify.py
@@ -8,10 +8,10 @@
 from starlette.applications import Starlette
 
 from hibiscushaven.entry.classify import classify
-from hibiscushaven.entry.http_server import HttpServer
 from hibiscushaven.entry.parts import MAX_REPORTED_VMS, combine_crashes, combine_revisions
 from hibiscushaven.entry.problems import Problem, problem_response
 from hibiscushaven.entry.requests import CallerRequest
+from hibiscushaven.process import HttpServer
 
 from .support import DOCUMENT, TOKEN, TOKEN_SHA256, make_catalog
 
--- a/src/hibiscushaven/entry/tests/test_resuming.py
+++ b/src/hibiscushaven/entry/tests/test_resuming.py
@@ -8,10 +8,10 @@
 from hibiscushaven.delivery import AttemptError, BackendClient
 from hibiscushaven.dispatch import DispatchConfig, Dispatcher, Work
 from hibiscushaven.documents import parse_document
-from hibiscushaven.entry.clock import SystemClock
 from hibiscushaven.entry.jobs import Job
 from hibiscushaven.entry.resuming import run_complete
 from hibiscushaven.entry.shard_runner import ShardRunner
+from hibiscushaven.process import SystemClock
 from hibiscushaven.standins import BackendConfig, BackendStandIn
 from hibiscushaven.standins.content import content
 
--- a/src/hibiscushaven/entry/tests/test_shard_runner.py
+++ b/src/hibiscushaven/entry/tests/test_shard_runner.py
@@ -8,10 +8,10 @@
 from hibiscushaven.bench.shards import MANIFEST, make_document
 from hibiscushaven.delivery import BackendClient
 from hibiscushaven.dispatch import DispatchConfig, Dispatcher, Work
-from hibiscushaven.entry.clock import SystemClock
 from hibiscushaven.entry.jobs import Job
 from hibiscushaven.entry.shard_runner import ShardRunner
 from hibiscushaven.ini.fields import Endpoint
+from hibiscushaven.process import SystemClock
 from hibiscushaven.standins import BackendConfig, BackendStandIn
 
 
--- /dev/null
+++ b/src/hibiscushaven/fleet/messages.py
@@ -0,0 +1,111 @@
+"""Messages by which VMs tell each other what they know."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgpack
+import xxhash
+
+__all__ = ["MessageError", "RegionDigest", "VmState", "decode", "encode", "token_of"]
+
+_FORMAT = 1
+
+
+class MessageError(Exception):
+    """Bytes that are no message of this format."""
+
+
+def token_of(text: str) -> int:
+    """Return 32 bits that stand for an id in messages."""
+    return xxhash.xxh32_intdigest(text.encode())
+
+
+@dataclass(frozen=True, slots=True)
+class VmState:
+    """State of one VM; a later one replaces an earlier one as a whole.
+
+    :ivar incarnation: drawn at each start; with ``sequence``, orders the states of a VM.
+    :ivar callers_at: address for callers, ``ip:port``.
+    :ivar peers_at: address for other VMs, ``ip:port``.
+    :ivar can_read: whether its last call of the platform's store succeeded.
+    :ivar operator_version: version of the operator's state that it holds.
+    :ivar operator_age_s: time since that was confirmed by a read, by any VM.
+    :ivar servers_version: version of the backend servers that it knows.
+    :ivar in_progress: its requests in progress by token of the backend server.
+    :ivar lost: seconds since it lost a backend server, by token.
+    :ivar arrivals: requests a second from its callers by token of the service.
+    """
+
+    name: str
+    incarnation: int
+    sequence: int
+    region: str
+    failure_domain: str
+    callers_at: str
+    peers_at: str
+    is_ready: bool = False
+    is_leaving: bool = False
+    can_read: bool = True
+    operator_version: int = 0
+    operator_age_s: float = 1e6
+    servers_version: int = 0
+    servers_age_s: float = 1e6
+    in_progress: Mapping[int, int] = field(default_factory=dict)
+    lost: Mapping[int, float] = field(default_factory=dict)
+    arrivals: Mapping[int, float] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class RegionDigest:
+    """What the VMs of one region have in progress, summed by one of them."""
+
+    region: str
+    sender: str
+    incarnation: int
+    sequence: int
+    in_progress: Mapping[int, int] = field(default_factory=dict)
+    arrivals: Mapping[int, float] = field(default_factory=dict)
+
+
+_TYPES: tuple[type, ...] = (VmState, RegionDigest)
+
+
+def encode(message: VmState | RegionDigest) -> bytes:
+    """Return a message as one datagram.
+
+    Examples
+    ========
+
+    >>> digest = RegionDigest("serra", "vm-1", 7, 1, {5: 2})
+    >>> decode(encode(digest)) == digest
+    True
+
+    """
+    number = _TYPES.index(type(message))
+    fields = [getattr(message, name) for name in message.__slots__]
+    return msgpack.packb([_FORMAT, number, *fields], use_single_float=True)
+
+
+def decode(datagram: bytes) -> VmState | RegionDigest:
+    """Return the message of a datagram.
+
+    :raises MessageError: when it is none.
+    """
+    try:
+        items: Any = msgpack.unpackb(datagram, strict_map_key=False)
+        if items[0] != _FORMAT:
+            raise MessageError(f"format {items[0]!r} in place of {_FORMAT}")
+        return _checked(_TYPES[items[1]](*items[2:]))
+    except (ValueError, TypeError, IndexError, KeyError, msgpack.UnpackException) as error:
+        raise MessageError(f"{len(datagram)} bytes: {error!r}") from error
+
+
+def _checked(message: VmState | RegionDigest) -> VmState | RegionDigest:
+    for name, value in (("incarnation", message.incarnation), ("sequence", message.sequence)):
+        if not isinstance(value, int):
+            raise MessageError(f"{name} {value!r} is no whole number")
+    for value in (message.in_progress, message.arrivals):
+        if not isinstance(value, dict):
+            raise MessageError(f"{value!r} is no map")
+    return message
--- /dev/null
+++ b/src/hibiscushaven/gateway/settings.py
@@ -0,0 +1,152 @@
+"""Settings of a gateway, read from an INI file."""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from expression import Error, Ok, Result
+
+from hibiscushaven.forwarding import BudgetOptions
+from hibiscushaven.ini import (
+    Field,
+    IniProblem,
+    choice,
+    duration,
+    endpoint,
+    integer,
+    number,
+    read_sections,
+    text,
+)
+from hibiscushaven.ini.fields import Endpoint, host
+
+from .options import GatewayOptions
+
+__all__ = ["GatewaySettings", "load_gateway_settings", "parse_gateway_settings"]
+
+_NAME = text()
+_PAIRS = text(r"[^:,\s]+:[^:,\s]+(,[^:,\s]+:[^:,\s]+)*", "pairs such as serra-a:serra,vale-a:vale")
+_SEEDS = text(r"[0-9.:,\s]*", "IP numbers, with commas between them")
+
+_LAYOUT = {
+    "vm": (
+        Field("name", _NAME),
+        Field("region", _NAME),
+        Field("failure_domain", _NAME),
+        Field("host", host()),
+        Field("failure_domains", _PAIRS),
+    ),
+    "listen": (
+        Field("callers", endpoint()),
+        Field("readiness", endpoint()),
+        Field("directory", endpoint()),
+        Field("status", endpoint(), None, False),
+        Field("metrics_port", integer(1, 65535), None, False),
+        Field("peer_port", integer(1, 65535)),
+    ),
+    "peers": (Field("seeds", _SEEDS, "", False),),
+    "store": (Field("address", endpoint()),),
+    "bounds": (
+        Field("answer_ttl", duration(0.1, 60), 2.0, False),
+        Field("grace", duration(0.5, 600), 6.0, False),
+        Field("shift_cap", number(0.001, 1), 0.15, False),
+        Field("retry_window", duration(1, 600), 10.0, False),
+        Field("retry_ratio", number(0, 10), 0.1, False),
+        Field("retry_fixed", number(0, 1e6), 10.0, False),
+    ),
+    "log": (
+        Field("level", choice("debug", "info", "warning", "error"), "info", False),
+        Field("lines_per_s", integer(1, 100_000), 100, False),
+    ),
+}
+
+_REQUIRED = ("vm", "listen", "store")
+
+
+@dataclass(frozen=True, slots=True)
+class GatewaySettings:
+    """Settings of one gateway.
+
+    :ivar store_at: address of the platform's store.
+    :ivar log_lines_per_s: most lines of the log in a second, warnings not counted.
+    """
+
+    options: GatewayOptions
+    store_at: Endpoint
+    log_level: str = "info"
+    log_lines_per_s: int = 100
+
+
+def load_gateway_settings(path: str) -> Result[GatewaySettings, tuple[IniProblem, ...]]:
+    """Read the settings of a file."""
+    try:
+        source = Path(path).read_text(encoding="utf-8")
+    except (OSError, ValueError) as error:
+        return Error((IniProblem("file", "", path, f"a text in UTF-8 that can be read ({error})"),))
+    return parse_gateway_settings(source)
+
+
+def parse_gateway_settings(source: str) -> Result[GatewaySettings, tuple[IniProblem, ...]]:
+    """Parse settings, reporting every problem at once.
+
+    Examples
+    ========
+
+    >>> [str(problem) for problem in parse_gateway_settings("[vm]\\nname = a b").error][0]
+    "[vm] name = 'a b': expected letters, digits, '.', '_' and '-'"
+
+    """
+    sections, problems = read_sections(source, _LAYOUT)
+    found = {section.kind: section.values for section in sections}
+    problems += tuple(_check(found))
+    if problems:
+        return Error(problems)
+    return Ok(_settings(found))
+
+
+def _check(found: Mapping[str, Mapping[str, Any]]) -> Iterator[IniProblem]:
+    for kind in _REQUIRED:
+        if kind not in found:
+            yield IniProblem(kind, "", None, "a section of this name")
+    vm = found.get("vm", {})
+    pairs, domain, region = (vm.get(key) for key in ("failure_domains", "failure_domain", "region"))
+    if pairs and domain and region and _regions(pairs).get(domain) != region:
+        allowed = f"a failure domain of region {region!r} in failure_domains"
+        yield IniProblem("vm", "failure_domain", domain, allowed)
+
+
+def _regions(pairs: str) -> dict[str, str]:
+    return dict(pair.split(":") for pair in pairs.split(","))
+
+
+def _settings(found: Mapping[str, Mapping[str, Any]]) -> GatewaySettings:
+    vm, listen = found["vm"], found["listen"]
+    bounds = _values(found, "bounds")
+    log = _values(found, "log")
+    peer_port, metrics_port = listen["peer_port"], listen["metrics_port"]
+    # All VMs of a deployment use the same port for each other, so that a seed's own is ignored.
+    seeds = _values(found, "peers")["seeds"].replace(",", " ").split()
+    options = GatewayOptions(
+        name=vm["name"],
+        region=vm["region"],
+        failure_domain=vm["failure_domain"],
+        regions=_regions(vm["failure_domains"]),
+        callers_at=listen["callers"],
+        readiness_at=listen["readiness"],
+        directory_at=listen["directory"],
+        status_at=listen["status"],
+        metrics_at=Endpoint(vm["host"], metrics_port) if metrics_port else None,
+        peers_at=Endpoint(vm["host"], peer_port),
+        seeds=tuple(f"{seed.partition(':')[0]}:{peer_port}" for seed in seeds),
+        answer_ttl_s=bounds["answer_ttl"],
+        grace_s=bounds["grace"],
+        shift_cap=bounds["shift_cap"],
+        budget=BudgetOptions(bounds["retry_window"], bounds["retry_ratio"], bounds["retry_fixed"]),
+    )
+    return GatewaySettings(options, found["store"]["address"], log["level"], log["lines_per_s"])
+
+
+def _values(found: Mapping[str, Mapping[str, Any]], kind: str) -> Mapping[str, Any]:
+    defaults = {field.key: field.default for field in _LAYOUT[kind]}
+    return {**defaults, **found.get(kind, {})}
--- a/src/hibiscushaven/ini/fields.py
+++ b/src/hibiscushaven/ini/fields.py
@@ -15,6 +15,7 @@
     "boolean",
     "choice",
     "digest",
+    "duration",
     "endpoint",
     "host",
     "integer",
@@ -110,6 +111,29 @@
     return Kind(parse, f"a number from {low:g} to {high:g}")
 
 
+def duration(low_s: float, high_s: float) -> Kind:
+    """Return the kind of times with a unit, ``ms`` or ``s``, in seconds.
+
+    Examples
+    ========
+
+    >>> duration(0, 10).parse("250ms"), duration(0, 10).parse("2.5s")
+    (0.25, 2.5)
+
+    """
+
+    def parse(value: str) -> float:
+        matched = re.fullmatch(r"([0-9]{1,9}(?:\.[0-9]{1,9})?)(ms|s)", value)
+        if matched is None:
+            raise ValueError(value)
+        seconds = float(matched[1]) / (1000 if matched[2] == "ms" else 1)
+        if not low_s <= seconds <= high_s:
+            raise ValueError(value)
+        return seconds
+
+    return Kind(parse, f"a time from {low_s:g}s to {high_s:g}s, such as 250ms or 2.5s")
+
+
 def text(pattern: str = r"[A-Za-z0-9][A-Za-z0-9._-]*", allowed: str = "") -> Kind:
     """Return the kind of texts that match ``pattern`` as a whole."""
 
--- a/src/hibiscushaven/logs/setup.py
+++ b/src/hibiscushaven/logs/setup.py
@@ -51,14 +51,14 @@
         return _redact(" ".join((super().format(record), *fields)))
 
 
-def configure_logs(level: str, style: str, vm: str) -> None:
-    """Send log records to standard error.
+def configure_logs(level: str, style: str, vm: str, handler: logging.Handler | None = None) -> None:
+    """Send log records to standard error, or to a handler.
 
     :param level: lowest level that is logged.
     :param style: ``json`` or ``text``.
     :param vm: name of the VM, put on each JSON record.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    handler = handler or logging.StreamHandler(sys.stderr)
     if style == "json":
         formatter: logging.Formatter = _RedactingJsonFormatter(
             "{asctime}{levelname}{name}{message}", style="{", static_fields={"vm": vm}
--- a/src/hibiscushaven/membership/node.py
+++ b/src/hibiscushaven/membership/node.py
@@ -7,7 +7,7 @@
 
 from hibiscushaven.ini.fields import Endpoint
 from hibiscushaven.peers import Message, PeerIdentity
-from hibiscushaven.platform import VmEntry
+from hibiscushaven.tablestore import VmEntry
 
 from .digests import DIGEST_S, DigestBook
 from .links import FORGET_S, HEARTBEAT_S, SUSPECT_S, LinkTable
--- a/src/hibiscushaven/membership/tests/network.py
+++ b/src/hibiscushaven/membership/tests/network.py
@@ -7,7 +7,7 @@
 
 from hibiscushaven.membership import MembershipNode
 from hibiscushaven.peers import PeerIdentity, decode, encode
-from hibiscushaven.platform import VmEntry, VmState
+from hibiscushaven.tablestore import VmEntry, VmState
 
 TICK_S = 0.1
 FRAME_BYTES = 4
--- a/src/hibiscushaven/membership/view.py
+++ b/src/hibiscushaven/membership/view.py
@@ -7,7 +7,7 @@
 
 from hibiscushaven.ini.fields import Endpoint
 from hibiscushaven.peers import PeerIdentity
-from hibiscushaven.platform import VmEntry
+from hibiscushaven.tablestore import VmEntry
 
 __all__ = ["DomainDigest", "Member", "MemberState", "View"]
 
--- a/src/hibiscushaven/operators/teams.py
+++ b/src/hibiscushaven/operators/teams.py
@@ -14,7 +14,7 @@
     Operator,
     TeamRow,
 )
-from hibiscushaven.platform import Row, Table, UnavailableError
+from hibiscushaven.tablestore import Row, Table, UnavailableError
 
 __all__ = ["TeamDirectory", "TeamsError", "TeamsUnavailableError", "UnauthorizedError"]
 
--- a/src/hibiscushaven/operators/tests/test_routes.py
+++ b/src/hibiscushaven/operators/tests/test_routes.py
@@ -19,7 +19,7 @@
 )
 from hibiscushaven.documents.tests.samples import document_text
 from hibiscushaven.operators import OperatorContext, TeamDirectory, operator_routes
-from hibiscushaven.platform import MemoryPlatform, OutcomeUnknownError, Write
+from hibiscushaven.tablestore import MemoryPlatform, OutcomeUnknownError, Write
 
 PATH = "/v1/documents/estoque"
 DIGEST = "d" * 64
--- /dev/null
+++ b/src/hibiscushaven/placement/__init__.py
@@ -0,0 +1,16 @@
+"""Decisions about where a request runs, without clock or network of their own."""
+
+from .budget import RetryBudget
+from .loads import LoadReport, ServerLoads
+from .picker import Demand, NoRoom, Picker, PickerOptions, Placement
+
+__all__ = [
+    "Demand",
+    "LoadReport",
+    "NoRoom",
+    "Picker",
+    "PickerOptions",
+    "Placement",
+    "RetryBudget",
+    "ServerLoads",
+]
--- /dev/null
+++ b/src/hibiscushaven/placement/loads.py
@@ -0,0 +1,164 @@
+"""What a VM has seen of backend servers itself."""
+
+from dataclasses import dataclass, field
+
+__all__ = ["LoadReport", "ServerLoad", "ServerLoads", "WorkTimes"]
+
+# Weight of a new measurement in a moving mean: the last ten count most.
+SMOOTHING = 0.1
+
+# A server's report of how fast its machine is changes several times a second.
+REPORT_LIFE_S = 0.4
+
+# Pauses after failures in a row, doubled each time: short, since a server that restarts is
+# back after some seconds and a probe costs one request that can be sent again.
+FIRST_PAUSE_S = 0.25
+LONGEST_PAUSE_S = 2.0
+
+# A server that has not answered anything for so many times the usual work time is avoided.
+STUCK_FACTOR = 4.0
+STUCK_LEAST_S = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Load that a backend server reports with an answer.
+
+    :ivar slowness: how long work takes on its machine at present; 1 is usual.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowness: float = 1.0
+
+
+@dataclass(slots=True)
+class ServerLoad:
+    """One backend server as this VM sees it.
+
+    :ivar started: start times of the attempts in progress, by attempt, oldest first.
+    :ivar avoid_until: end of the pause after failures.
+    :ivar lost_at: time at which it was last found to be unreachable.
+    :ivar relative_time: moving mean of work times over what was expected.
+    :ivar failed_part: moving mean of failed answers.
+    """
+
+    started: dict[int, float] = field(default_factory=dict)
+    avoid_until: float = 0.0
+    failures: int = 0
+    lost_at: float | None = None
+    last_answer_at: float = 0.0
+    relative_time: float = 1.0
+    failed_part: float = 0.0
+    report: LoadReport | None = None
+    reported_at: float = 0.0
+
+    @property
+    def in_progress(self) -> int:
+        return len(self.started)
+
+    def slowness(self, now: float) -> float:
+        """Return how many times longer than usual work takes."""
+        reported = 1.0
+        if self.report is not None and now - self.reported_at < REPORT_LIFE_S:
+            reported = self.report.slowness
+        return max(reported, self.relative_time)
+
+    def is_avoided(self, now: float, work_s: float) -> bool:
+        """Return whether it should get no requests for the moment."""
+        return now < self.avoid_until or self.is_stuck(now, work_s)
+
+    def is_stuck(self, now: float, work_s: float) -> bool:
+        """Return whether it has left a request unanswered for far too long."""
+        oldest = next(iter(self.started.values()), None)
+        if oldest is None:
+            return False
+        silent_s = now - max(oldest, self.last_answer_at)
+        return silent_s > max(STUCK_LEAST_S, STUCK_FACTOR * work_s)
+
+    def on_answer(
+        self, now: float, relative_time: float | None, is_failure: bool, report: LoadReport | None
+    ) -> None:
+        """Note an answer.
+
+        :param relative_time: work time over what was expected; ``None`` if it says nothing.
+        """
+        self.failures = 0
+        self.avoid_until = 0.0
+        self.last_answer_at = now
+        self.failed_part += SMOOTHING * (is_failure - self.failed_part)
+        if relative_time is not None:
+            self.relative_time += SMOOTHING * (min(relative_time, 20.0) - self.relative_time)
+        if report is not None:
+            self.report, self.reported_at = report, now
+
+    def on_loss(self, now: float, is_unreachable: bool = False) -> None:
+        """Note a connection that broke or stayed silent.
+
+        :param is_unreachable: whether no connection could be made, so that the server is
+            probably down and will be cold when it is back.
+        """
+        if is_unreachable:
+            self.lost_at = now
+        pause = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2.0**self.failures)
+        self.failures = min(self.failures + 1, 10)
+        self.avoid_until = now + pause
+
+
+class ServerLoads:
+    """Loads by id of the backend server."""
+
+    def __init__(self) -> None:
+        self._loads: dict[str, ServerLoad] = {}
+
+    def of(self, server_id: str) -> ServerLoad:
+        """Return the load of a server."""
+        load = self._loads.get(server_id)
+        if load is None:
+            load = self._loads[server_id] = ServerLoad()
+        return load
+
+    def busy(self) -> dict[str, int]:
+        """Return the requests in progress by server, without idle servers."""
+        return {name: len(load.started) for name, load in self._loads.items() if load.started}
+
+    def lost(self, now: float, within_s: float) -> dict[str, float]:
+        """Return the seconds since servers were lost, for those lost of late."""
+        return {
+            name: now - load.lost_at
+            for name, load in self._loads.items()
+            if load.lost_at is not None and now - load.lost_at < within_s
+        }
+
+    def keep_only(self, server_ids: frozenset[str]) -> None:
+        """Forget idle servers that are not named."""
+        for name in [name for name in self._loads if name not in server_ids]:
+            if not self._loads[name].started:
+                del self._loads[name]
+
+
+@dataclass(slots=True)
+class WorkTimes:
+    """Moving means of the work times of a service, in seconds.
+
+    :ivar known_s: for objects that the backend server knows.
+    :ivar unknown_s: for other objects.
+    """
+
+    known_s: float = 0.1
+    unknown_s: float = 0.25
+
+    @property
+    def mean_s(self) -> float:
+        return (self.known_s + self.unknown_s) / 2
+
+    def expected_s(self, is_known: bool) -> float:
+        return self.known_s if is_known else self.unknown_s
+
+    def record(self, is_known: bool, seconds: float) -> None:
+        """Note a work time that no queue is part of."""
+        if is_known:
+            self.known_s += 0.02 * (seconds - self.known_s)
+        else:
+            self.unknown_s += 0.02 * (seconds - self.unknown_s)
--- /dev/null
+++ b/src/hibiscushaven/placement/picker.py
@@ -0,0 +1,381 @@
+"""Choice of the backend server for a request."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from hibiscushaven.discovery import KnownServer, Registry
+from hibiscushaven.fleet import FleetView, token_of
+from hibiscushaven.routing import Configuration, OperatorState, Route
+
+from .affinity import ObjectOrder, RecentObjects, position_of
+from .flows import PRIOR_PART, RegionShares, target_shares
+from .loads import ServerLoad, ServerLoads, WorkTimes
+from .warmup import KEEPERS, WarmupGate
+
+__all__ = ["Demand", "NoRoom", "Picker", "PickerOptions", "Placement"]
+
+# Requests that may wait at a backend server, as a multiple of its slots. A longer queue only
+# makes answers late that another caller could have had in time.
+QUEUE_PART = 1.0
+
+# Advantage of each place in the order of an object over the next one, as a part of the work
+# time: enough to decide between equals.
+ORDER_BIAS = 0.02
+
+# Work takes about twice as long on a server that has just started.
+COLD_SLOWNESS = 2.0
+
+# Part of the requests that may run in another region than their share says, when theirs has
+# no room.
+OVERFLOW_PART = 0.03
+OVERFLOW_BURST = 3.0
+
+# A server that other VMs lost so recently may have restarted and be cold without knowing it.
+LOSS_NEWS_S = 4.0
+
+LEAST_RETRY_AFTER_S = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class PickerOptions:
+    """What the picker knows of the deployment.
+
+    :ivar regions: region by failure domain.
+    :ivar shift_per_s: part of a region's requests that may move to other regions in a second.
+    """
+
+    name: str
+    region: str
+    regions: Mapping[str, str]
+    shift_per_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """A request that looks for a backend server.
+
+    :ivar key: object that it is about, if any.
+    :ivar objective_left_s: time left within its objective.
+    :ivar time_left_s: time left in all.
+    :ivar excluded: backend servers that it was already sent to.
+    """
+
+    route: Route
+    service: str
+    key: str | None
+    objective_left_s: float
+    time_left_s: float
+    excluded: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """The backend server of an attempt, with what decided it."""
+
+    server: KnownServer
+    region: str
+    is_known_object: bool
+    busy: int
+    predicted_s: float
+    candidates: int
+
+
+@dataclass(frozen=True, slots=True)
+class NoRoom:
+    """No backend server can answer in time.
+
+    :ivar retry_after_s: when there will probably be room.
+    """
+
+    reason: str
+    retry_after_s: float
+    candidates: int
+
+
+class _ServiceState:
+    def __init__(self, options: PickerOptions) -> None:
+        self.times = WorkTimes()
+        self.shares = RegionShares(options.region, options.shift_per_s)
+        self.objects = RecentObjects()
+        self.overflow = OVERFLOW_BURST
+
+
+class Picker:
+    """Chooses backend servers from what this VM and its peers have in progress.
+
+    Explanation
+    ===========
+
+    The load it is meant for: services whose servers know some objects, a third of the callers
+    in a region with a tenth of the servers, and peaks that reach the regions in turn.
+
+    1. The region follows from the object's hash and the current shares of the regions.
+    2. In the region, the server with the least predicted time is chosen: work time, shorter
+       where the object is known, times the slowness of the server, and the wait for a slot.
+    3. A request that would have to wait and could not be answered within its objective is
+       refused at once, so that those that wait are answered in time.
+    """
+
+    def __init__(
+        self, options: PickerOptions, registry: Registry, view: FleetView, loads: ServerLoads
+    ) -> None:
+        self._options = options
+        self._registry = registry
+        self._view = view
+        self._loads = loads
+        self._gate = WarmupGate()
+        self._order = ObjectOrder()
+        self._services: dict[str, _ServiceState] = {}
+        self._operator = OperatorState()
+        self._usable: dict[str, dict[str, tuple[KnownServer, ...]]] = {}
+        self._usable_of: tuple[int, int] = (-1, -1)
+        self._tokens: dict[str, int] = {}
+
+    def set_operator(self, operator: OperatorState) -> None:
+        """Use a newer state of the operator."""
+        self._operator = operator
+
+    @property
+    def configuration(self) -> Configuration | None:
+        return self._operator.configuration
+
+    def usable(self, service: str) -> Mapping[str, tuple[KnownServer, ...]]:
+        """Return the servers of a service that may get requests, by region."""
+        versions = (self._registry.version, self._operator.version)
+        if versions != self._usable_of:
+            self._usable = {}
+            self._usable_of = versions
+        found = self._usable.get(service)
+        if found is None:
+            found = self._usable[service] = self._find_usable(service)
+        return found
+
+    def region_shares(self, service: str) -> Mapping[str, float]:
+        """Return the current shares of the regions of a service."""
+        return self._state(service).shares.shares
+
+    def busy(self, server_id: str) -> int:
+        """Return the requests in progress of all VMs on a server."""
+        return self._loads.of(server_id).in_progress + self._view.in_progress(
+            self._token(server_id)
+        )
+
+    def work_times(self, service: str) -> WorkTimes:
+        return self._state(service).times
+
+    def pick(self, now: float, demand: Demand) -> Placement | NoRoom:
+        """Return a server for a request, or why there is none."""
+        groups = self._allowed(demand)
+        if not groups:
+            return NoRoom("no backend server is usable", self._pause_s(demand), 0)
+        state = self._state(demand.service)
+        if demand.key is not None:
+            state.objects.note(now, demand.key)
+        region = self._region(now, demand, groups, state)
+        choice = self._pick_in(now, demand, region, groups[region], state)
+        if isinstance(choice, Placement):
+            state.overflow = min(OVERFLOW_BURST, state.overflow + OVERFLOW_PART)
+            return choice
+        if state.overflow < 1.0:
+            return choice
+        for other in sorted(groups, key=lambda name: self._filled(groups[name])):
+            if other == region:
+                continue
+            found = self._pick_in(now, demand, other, groups[other], state)
+            if isinstance(found, Placement):
+                state.overflow -= 1.0
+                return found
+        return choice
+
+    def take(self, now: float, server: KnownServer) -> bool:
+        """Count a request towards the rate of a cold server; return whether it fits."""
+        if not self.is_cold(now, server):
+            return True
+        return self._gate.try_pass(now, server.record.server_id, self._warmup_per_s(server))
+
+    def is_cold(self, now: float, server: KnownServer) -> bool:
+        """Return whether a server is cold, or may be without our knowing it."""
+        return now < server.cold_until
+
+    def move_shares(self, now: float, own_arrivals: Mapping[int, float]) -> None:
+        """Move the shares of the regions with the load; called several times a second."""
+        arrivals = {
+            self._options.region: self._view.arrivals(now, dict(own_arrivals)),
+            **self._view.far_arrivals(),
+        }
+        names = self._operator.configuration
+        for service in names.services if names else ():
+            token = self._token(service)
+            rates = {region: rates.get(token, 0.0) for region, rates in arrivals.items()}
+            state = self._state(service)
+            slots = {
+                region: sum(item.record.slots for item in servers)
+                for region, servers in self.usable(service).items()
+            }
+            if sum(rates.values()) < 1.0:
+                rates = _prior(self._options.regions, slots, state.times.mean_s)
+            target = target_shares(self._options.region, rates, slots, state.times.mean_s)
+            state.shares.move(now, target)
+
+    def keep_only(self, server_ids: frozenset[str]) -> None:
+        """Forget servers that are not named."""
+        self._gate.keep_only(server_ids)
+        for name in [name for name in self._tokens if name not in server_ids]:
+            del self._tokens[name]
+
+    def _state(self, service: str) -> _ServiceState:
+        state = self._services.get(service)
+        if state is None:
+            state = self._services[service] = _ServiceState(self._options)
+        return state
+
+    def _token(self, text: str) -> int:
+        token = self._tokens.get(text)
+        if token is None:
+            token = self._tokens[text] = token_of(text)
+        return token
+
+    def _find_usable(self, service: str) -> dict[str, tuple[KnownServer, ...]]:
+        groups: dict[str, list[KnownServer]] = {}
+        for server in self._registry.of_service(service):
+            domain = server.record.failure_domain
+            region = self._options.regions.get(domain)
+            is_out = server.record.is_leaving or domain in self._operator.evacuated
+            if region is not None and not is_out:
+                groups.setdefault(region, []).append(server)
+        return {region: tuple(servers) for region, servers in groups.items()}
+
+    def _allowed(self, demand: Demand) -> dict[str, tuple[KnownServer, ...]]:
+        homes = demand.route.home_regions
+        groups = {
+            region: servers
+            for region, servers in self.usable(demand.service).items()
+            if not homes or region in homes
+        }
+        if not demand.excluded:
+            return groups
+        left = {
+            region: tuple(s for s in servers if s.record.server_id not in demand.excluded)
+            for region, servers in groups.items()
+        }
+        return {region: servers for region, servers in left.items() if servers}
+
+    def _region(
+        self,
+        now: float,
+        demand: Demand,
+        groups: Mapping[str, tuple[KnownServer, ...]],
+        state: _ServiceState,
+    ) -> str:
+        key = demand.key if demand.key is not None else str(now)
+        region = state.shares.region_at(position_of(key))
+        if region in groups and self._has_living(now, groups[region], state):
+            return region
+        if self._options.region in groups and self._has_living(
+            now, groups[self._options.region], state
+        ):
+            return self._options.region
+        return min(groups, key=lambda name: self._filled(groups[name]))
+
+    def _has_living(
+        self, now: float, servers: tuple[KnownServer, ...], state: _ServiceState
+    ) -> bool:
+        return any(
+            not self._loads.of(server.record.server_id).is_avoided(now, state.times.unknown_s)
+            for server in servers
+        )
+
+    def _filled(self, servers: tuple[KnownServer, ...]) -> float:
+        slots = sum(server.record.slots for server in servers)
+        return sum(self.busy(server.record.server_id) for server in servers) / max(1, slots)
+
+    def _pick_in(
+        self,
+        now: float,
+        demand: Demand,
+        region: str,
+        servers: tuple[KnownServer, ...],
+        state: _ServiceState,
+    ) -> Placement | NoRoom:
+        by_id = {server.record.server_id: server for server in servers}
+        if demand.key is None or not demand.route.is_sticky:
+            order, copies = tuple(by_id), len(by_id)
+        else:
+            order = self._order.of(demand.key, tuple(by_id))
+            copies = state.objects.copies(len(order))
+        best: Placement | None = None
+        best_cost = 0.0
+        soonest_s = demand.time_left_s
+        for place, server_id in enumerate(order):
+            server = by_id[server_id]
+            load = self._loads.of(server_id)
+            if load.is_avoided(now, state.times.unknown_s) or not self._may_send(now, server):
+                continue
+            busy = self.busy(server_id)
+            is_known = place < copies
+            work_s, wait_s = self._predict(now, server, load, busy, is_known, state)
+            soonest_s = min(soonest_s, wait_s)
+            if not _has_room(busy, server.record.slots, work_s + wait_s, demand):
+                continue
+            cost = work_s * (1.0 + ORDER_BIAS * place + 2.0 * load.failed_part) + wait_s
+            if best is None or cost < best_cost:
+                best_cost = cost
+                best = Placement(server, region, is_known, busy, work_s + wait_s, len(order))
+        if best is not None:
+            return best
+        return NoRoom(
+            "all backend servers are busy", max(LEAST_RETRY_AFTER_S, soonest_s), len(order)
+        )
+
+    def _predict(
+        self,
+        now: float,
+        server: KnownServer,
+        load: ServerLoad,
+        busy: int,
+        is_known: bool,
+        state: _ServiceState,
+    ) -> tuple[float, float]:
+        """Return the predicted work time and the wait for a slot, in seconds."""
+        slowness = load.slowness(now)
+        if self.is_cold(now, server):
+            slowness = max(slowness, COLD_SLOWNESS)
+        work_s = state.times.expected_s(is_known) * slowness
+        slots = max(1, server.record.slots)
+        ahead = max(0, busy - slots + 1)
+        return work_s, ahead * state.times.mean_s * slowness / slots
+
+    def _may_send(self, now: float, server: KnownServer) -> bool:
+        if not self.is_cold(now, server):
+            return True
+        server_id = server.record.server_id
+        region = self._options.regions.get(server.record.failure_domain)
+        if region != self._options.region:
+            return False
+        if self._options.name not in self._view.keepers(now, server_id, KEEPERS):
+            return False
+        return self._gate.may_pass(now, server_id, self._warmup_per_s(server))
+
+    def _warmup_per_s(self, server: KnownServer) -> float:
+        configuration = self._operator.configuration
+        options = configuration.services.get(server.record.service) if configuration else None
+        return options.warmup_per_s if options is not None else 1.0
+
+    def _pause_s(self, demand: Demand) -> float:
+        return max(LEAST_RETRY_AFTER_S, min(0.5, demand.time_left_s / 4))
+
+
+def _has_room(busy: int, slots: int, predicted_s: float, demand: Demand) -> bool:
+    """Return whether a request should go to a server with so many in progress."""
+    if busy < slots:
+        return predicted_s <= demand.time_left_s
+    if busy >= slots * (1.0 + QUEUE_PART):
+        return False
+    return predicted_s <= demand.objective_left_s
+
+
+def _prior(regions: Mapping[str, str], slots: Mapping[str, int], work_s: float) -> dict[str, float]:
+    """Return equal arrivals in all regions that use a part of all slots."""
+    names = set(regions.values())
+    rate = PRIOR_PART * sum(slots.values()) / work_s / max(1, len(names))
+    return dict.fromkeys(names, rate)
--- a/src/hibiscushaven/platform/__init__.py
+++ b/src/hibiscushaven/platform/__init__.py
@@ -1,35 +1,5 @@
-"""The platform's services: table, object store and list of VMs, behind one port."""
+"""Adapter to the users' platform: translates its names, and decides nothing."""
 
-from .http import HttpPlatform
-from .memory import MemoryPlatform
-from .port import (
-    ConflictError,
-    ObjectStore,
-    OutcomeUnknownError,
-    Platform,
-    PlatformError,
-    Row,
-    Table,
-    UnavailableError,
-    VmEntry,
-    VmList,
-    VmState,
-    Write,
-)
+from .program import run_gateway
 
-__all__ = [
-    "ConflictError",
-    "HttpPlatform",
-    "MemoryPlatform",
-    "ObjectStore",
-    "OutcomeUnknownError",
-    "Platform",
-    "PlatformError",
-    "Row",
-    "Table",
-    "UnavailableError",
-    "VmEntry",
-    "VmList",
-    "VmState",
-    "Write",
-]
+__all__ = ["run_gateway"]
--- /dev/null
+++ b/src/hibiscushaven/platform/dialects.py
@@ -0,0 +1,115 @@
+"""Headers and paths that callers and backend servers use on the platform."""
+
+import re
+from http.cookies import CookieError, SimpleCookie
+
+from starlette.requests import Request
+
+from hibiscushaven.delivery import (
+    AttemptError,
+    AttemptHead,
+    AttemptRequest,
+    Headers,
+    Stop,
+    find_header,
+)
+from hibiscushaven.forwarding import CallerRequest
+from hibiscushaven.placement import LoadReport
+
+__all__ = ["PlatformBackends", "PlatformCallers", "PlatformDirectory"]
+
+_MISDIRECTED = 421
+_COUNT = re.compile(r"[0-9]{1,9}")
+_TIME_LEFT_MS = "Deadline-Ms"
+_OBJECT_COOKIE = "Affinity-Key"
+
+
+class PlatformCallers:
+    """Reads what callers say with their requests."""
+
+    def read(
+        self, headers: Headers, method: str, path: str, target: str, body: bytes, now: float
+    ) -> CallerRequest:
+        left_ms = find_header(headers, _TIME_LEFT_MS)
+        has_limit = left_ms is not None and _COUNT.fullmatch(left_ms) is not None
+        return CallerRequest(
+            request_id=find_header(headers, "Request-Id") or "",
+            method=method,
+            host=find_header(headers, "Host") or "",
+            path=path,
+            target=target,
+            headers=tuple(item for item in headers if item[0].lower() != "host"),
+            body=body,
+            object_key=_object_key(find_header(headers, "Cookie")),
+            time_left_s=int(left_ms) / 1000 if has_limit else None,
+            received_at=now,
+        )
+
+
+def _object_key(cookies: str | None) -> str | None:
+    if not cookies:
+        return None
+    if cookies.startswith(f"{_OBJECT_COOKIE}=") and ";" not in cookies:
+        return cookies.partition("=")[2]
+    try:
+        morsel = SimpleCookie(cookies).get(_OBJECT_COOKIE)
+    except CookieError:
+        # Cookies are the caller's own; one that cannot be read names no object.
+        return None
+    return morsel.value if morsel is not None else None
+
+
+class PlatformBackends:
+    """Sets the headers of attempts and judges the heads of answers."""
+
+    own_headers = frozenset({"deadline-ms", "expect-instance", "request-id"})
+
+    def request_headers(self, request: AttemptRequest, left_ms: int) -> Headers:
+        headers = [
+            (_TIME_LEFT_MS, str(max(1, left_ms))),
+            # Any other server answers 421 and does not run the request.
+            ("Expect-Instance", request.server_id),
+        ]
+        if request.attempt_id:
+            headers.append(("Request-Id", request.attempt_id))
+        return tuple(headers)
+
+    def check_head(self, head: AttemptHead, request: AttemptRequest) -> None:
+        answered = find_header(head.headers, "Request-Id")
+        is_refused = find_header(head.headers, "Not-Executed") is not None
+        if request.attempt_id and answered is not None and answered != request.attempt_id:
+            detail = f"{request.server} answered {answered!r} to {request.attempt_id!r}"
+            raise AttemptError(Stop.WRONG_ATTEMPT_ID, detail)
+        if is_refused or head.status == _MISDIRECTED:
+            stop = Stop.MISDIRECTED if head.status == _MISDIRECTED else Stop.REFUSED
+            raise AttemptError(stop, f"{request.server} answered {head.status}, not run")
+        if find_header(head.headers, "Content-Encoding") is not None:
+            raise AttemptError(Stop.MALFORMED, f"{request.server} sent an encoded body")
+        if head.status < 300 and (
+            answered is None or find_header(head.headers, "Response-Seal") is None
+        ):
+            raise AttemptError(Stop.MALFORMED, f"{request.server} sent an answer without its seal")
+
+    def load_of(self, head: AttemptHead) -> LoadReport | None:
+        """Return the load that a backend server reports with an answer."""
+        value = find_header(head.headers, "Server-Load")
+        fields = value.split(",") if value is not None else []
+        if len(fields) < 3 or not all(_COUNT.fullmatch(field.strip()) for field in fields):
+            return None
+        running, waiting, slots, *rest = (int(field) for field in fields)
+        # The fourth figure is in percent of the usual work time.
+        return LoadReport(running, waiting, slots, rest[0] / 100 if rest else 1.0)
+
+
+class PlatformDirectory:
+    """Questions of callers that ask where to connect."""
+
+    path = "/v1/resolve"
+    readiness_path = "/v1/readiness"
+
+    def read(self, request: Request) -> tuple[str, str, str]:
+        query = request.query_params
+        return query.get("Name", ""), query.get("Region", ""), query.get("Zone", "")
+
+    def write(self, addresses: list[str], ttl_s: float) -> object:
+        return {"Addresses": addresses, "Ttl": f"{round(ttl_s * 1000)}ms"}
--- a/src/hibiscushaven/entry/http_server.py
+++ b/src/hibiscushaven/process/server.py
@@ -6,7 +6,7 @@
 import socket
 
 import uvicorn
-from starlette.applications import Starlette
+from starlette.types import ASGIApp
 
 from hibiscushaven.ini.fields import Endpoint
 
@@ -23,13 +23,29 @@
         yield
 
 
+class _EventServer(_QuietServer):
+    """A server without the ticks that only renew the ``Date`` header."""
+
+    async def main_loop(self) -> None:
+        while not self.should_exit:
+            self._wake = asyncio.Event()
+            await self._wake.wait()
+
+    def wake(self) -> None:
+        """Let the server notice that it should exit."""
+        self._wake.set()
+
+
 class HttpServer:
-    """Serves a Starlette application.
+    """Serves an ASGI application.
 
     :param keep_alive_s: time that an idle connection of a caller is kept.
+    :param has_date: whether answers without a ``Date`` header get one.
     """
 
-    def __init__(self, app: Starlette, host: str, port: int, keep_alive_s: int = 15) -> None:
+    def __init__(
+        self, app: ASGIApp, host: str, port: int, keep_alive_s: int = 15, has_date: bool = True
+    ) -> None:
         config = uvicorn.Config(
             app,
             host=host,
@@ -42,8 +58,9 @@
             ws="none",
             timeout_keep_alive=keep_alive_s,
             server_header=False,
+            date_header=has_date,
         )
-        self._server = _QuietServer(config)
+        self._server = _QuietServer(config) if has_date else _EventServer(config)
         self._socket: socket.socket | None = None
         self._task: asyncio.Task[None] | None = None
 
@@ -73,6 +90,8 @@
         """
         self._server.should_exit = True
         self._server.force_exit = is_forced
+        if isinstance(self._server, _EventServer):
+            self._server.wake()
         if self._task is not None:
             await self._task
 
--- a/src/hibiscushaven/entry/tests/test_signals.py
+++ b/src/hibiscushaven/process/tests/test_signals.py
@@ -3,7 +3,7 @@
 import asyncio
 import signal
 
-from hibiscushaven.entry import on_stop
+from hibiscushaven.process import on_stop
 
 
 def test_ignored_ctrl_c_stays_ignored():
--- /dev/null
+++ b/src/hibiscushaven/routing/__init__.py
@@ -0,0 +1,25 @@
+"""Routes, services and limits of a deployment, and the route of a request."""
+
+from .model import (
+    CallerLimits,
+    Configuration,
+    RequestKind,
+    Route,
+    ServiceOptions,
+    SplitPart,
+)
+from .operator_state import OperatorState
+from .splits import SplitChooser
+from .table import RouteTable
+
+__all__ = [
+    "CallerLimits",
+    "Configuration",
+    "OperatorState",
+    "RequestKind",
+    "Route",
+    "RouteTable",
+    "ServiceOptions",
+    "SplitChooser",
+    "SplitPart",
+]
--- a/src/hibiscushaven/settings/deployment.py
+++ b/src/hibiscushaven/settings/deployment.py
@@ -11,7 +11,7 @@
 from hibiscushaven.documents import parse_document
 from hibiscushaven.ini import Field, IniProblem, Section, integer, number, read_sections, text
 from hibiscushaven.ini.fields import host
-from hibiscushaven.platform import VmEntry, VmState
+from hibiscushaven.tablestore import VmEntry, VmState
 
 from .checks import check_missing, check_ports, check_titles
 from .vm import COMMON_LAYOUT, Settings, common_settings
--- a/src/hibiscushaven/slots/registrar.py
+++ b/src/hibiscushaven/slots/registrar.py
@@ -5,7 +5,7 @@
 
 from hibiscushaven.membership import View
 from hibiscushaven.peers import PeerIdentity
-from hibiscushaven.platform import (
+from hibiscushaven.tablestore import (
     ConflictError,
     OutcomeUnknownError,
     Row,
--- a/src/hibiscushaven/slots/tests/simulation.py
+++ b/src/hibiscushaven/slots/tests/simulation.py
@@ -10,8 +10,8 @@
 from hibiscushaven.documents import ServiceDocument, parse_document
 from hibiscushaven.membership import MembershipNode
 from hibiscushaven.peers import PeerIdentity, decode, encode
-from hibiscushaven.platform import MemoryPlatform, UnavailableError, VmEntry, VmState
 from hibiscushaven.slots import RosterKeeper, Shard, SlotNode
+from hibiscushaven.tablestore import MemoryPlatform, UnavailableError, VmEntry, VmState
 
 SERVICE = "stock"
 SHARD = Shard(SERVICE)
--- a/src/hibiscushaven/slots/tests/test_registrar.py
+++ b/src/hibiscushaven/slots/tests/test_registrar.py
@@ -4,8 +4,8 @@
 
 from hibiscushaven.membership import Member, MemberState, View
 from hibiscushaven.peers import PeerIdentity
-from hibiscushaven.platform import MemoryPlatform, VmEntry, VmState
 from hibiscushaven.slots import RosterKeeper
+from hibiscushaven.tablestore import MemoryPlatform, VmEntry, VmState
 
 
 def identity(number: int, incarnation: str = "a") -> PeerIdentity:
--- a/src/hibiscushaven/standins/platform.py
+++ b/src/hibiscushaven/standins/platform.py
@@ -9,7 +9,7 @@
 import msgpack
 from aiohttp import web
 
-from hibiscushaven.platform import (
+from hibiscushaven.tablestore import (
     ConflictError,
     MemoryPlatform,
     OutcomeUnknownError,
@@ -19,7 +19,7 @@
     VmState,
     Write,
 )
-from hibiscushaven.platform.memory import Faults
+from hibiscushaven.tablestore.memory import Faults
 
 from .sockets import reset
 
--- a/src/hibiscushaven/standins/tests/test_platform.py
+++ b/src/hibiscushaven/standins/tests/test_platform.py
@@ -7,7 +7,8 @@
 import pytest
 
 from hibiscushaven.delivery.tests.support import HOST, in_loop
-from hibiscushaven.platform import (
+from hibiscushaven.standins import PlatformStandIn
+from hibiscushaven.tablestore import (
     ConflictError,
     HttpPlatform,
     OutcomeUnknownError,
@@ -17,7 +18,6 @@
     VmState,
     Write,
 )
-from hibiscushaven.standins import PlatformStandIn
 
 
 @asynccontextmanager
--- a/tests/golden/network.py
+++ b/tests/golden/network.py
@@ -6,7 +6,7 @@
 
 from hibiscushaven.ini.fields import Endpoint
 from hibiscushaven.peers import PeerHub, PeerIdentity
-from hibiscushaven.platform import OutcomeUnknownError, UnavailableError
+from hibiscushaven.tablestore import OutcomeUnknownError, UnavailableError
 
 from .processes import NO_PROCESS, Process
 
--- a/tests/golden/vms.py
+++ b/tests/golden/vms.py
@@ -10,8 +10,8 @@
 from hibiscushaven.entry.ports import NodePorts
 from hibiscushaven.operators import OperatorContext, TeamDirectory, operator_routes
 from hibiscushaven.peers import PeerIdentity
-from hibiscushaven.platform import VmEntry, VmState
 from hibiscushaven.settings import Settings
+from hibiscushaven.tablestore import VmEntry, VmState
 
 from .backends import MemoryClient
 from .callers import Reply, exchange
--- a/tests/golden/world.py
+++ b/tests/golden/world.py
@@ -10,8 +10,8 @@
 
 from hibiscushaven.documents import TeamRow, TeamToken, parse_document
 from hibiscushaven.documents.rows import team_key
-from hibiscushaven.platform import MemoryPlatform, Write
 from hibiscushaven.settings import Deployment, parse_deployment
+from hibiscushaven.tablestore import MemoryPlatform, Write
 
 from .backends import BackendFleet
 from .callers import Call, Reply, judge
