--- a/src/hibiscushaven/fleet/messages.py
+++ b/src/hibiscushaven/fleet/messages.py
@@ -1,7 +1,7 @@
 """Messages by which VMs tell each other what they know."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, fields
 from typing import Any
 
 import msgpack
@@ -83,8 +83,8 @@
 
     """
     number = _TYPES.index(type(message))
-    fields = [getattr(message, name) for name in message.__slots__]
-    return msgpack.packb([_FORMAT, number, *fields], use_single_float=True)
+    values = [getattr(message, name) for name in message.__slots__]
+    return msgpack.packb([_FORMAT, number, *values], use_single_float=True)
 
 
 def decode(datagram: bytes) -> VmState | RegionDigest:
@@ -102,10 +102,29 @@
 
 
 def _checked(message: VmState | RegionDigest) -> VmState | RegionDigest:
-    for name, value in (("incarnation", message.incarnation), ("sequence", message.sequence)):
-        if not isinstance(value, int):
-            raise MessageError(f"{name} {value!r} is no whole number")
-    for value in (message.in_progress, message.arrivals):
-        if not isinstance(value, dict):
-            raise MessageError(f"{value!r} is no map")
+    for item in fields(message):
+        value = getattr(message, item.name)
+        if not isinstance(value, _allowed_types(_type_name(item.type))):
+            raise MessageError(f"{item.name} {value!r} is no {item.type}")
+    for name in ("in_progress", "lost", "arrivals"):
+        amounts = getattr(message, name, {})
+        for token, amount in amounts.items():
+            if not (isinstance(token, int) and isinstance(amount, int | float)):
+                raise MessageError(f"{name} {token!r}: {amount!r} is no amount")
     return message
+
+
+def _type_name(kind: object) -> str:
+    return kind.__name__ if isinstance(kind, type) else str(kind)
+
+
+def _allowed_types(name: str) -> tuple[type, ...]:
+    return _ALLOWED_TYPES.get(name, (dict,))
+
+
+_ALLOWED_TYPES: dict[str, tuple[type, ...]] = {
+    "str": (str,),
+    "int": (int,),
+    "bool": (bool,),
+    "float": (int, float),
+}
--- a/src/hibiscushaven/forwarding/forwarder.py
+++ b/src/hibiscushaven/forwarding/forwarder.py
@@ -269,8 +269,8 @@
         try:
             head = await self._client.attempt(self._attempt_request(course, server))
             waited_s = self._now() - started
-            course.sent += 1
             body, rest = await _read(head)
+            course.sent += 1
         except AttemptError as error:
             return self._on_error(course, server, error)
         finally:
@@ -324,12 +324,10 @@
         if stop.is_before_sending:
             course.connects += 1
             return None if course.connects < MAX_CONNECTS else self._give_up(course, 502)
+        course.sent += 1
         if stop in (Stop.REFUSED, Stop.MISDIRECTED):
-            course.sent += 1
             return None
         course.may_have_run = True
-        if stop is Stop.CONNECTION_LOST:
-            course.sent += 1
         if stop is Stop.DEADLINE:
             return failure(504, "no answer within the time limit")
         return None if course.route.kind.is_idempotent else failure(502, str(error))
--- /dev/null
+++ b/src/hibiscushaven/forwarding/tests/support.py
@@ -0,0 +1,113 @@
+"""A forwarder on a virtual clock with scripted backend servers."""
+
+import asyncio
+
+from hibiscushaven.delivery import AttemptError, Stop
+from hibiscushaven.discovery import Registry, ServerRecord
+from hibiscushaven.fleet import FleetView
+from hibiscushaven.forwarding import BudgetOptions, CallerRequest, Forwarder
+from hibiscushaven.ini.fields import Endpoint
+from hibiscushaven.metrics import Metrics
+from hibiscushaven.placement import Picker, PickerOptions, ServerLoads
+from hibiscushaven.routing import (
+    Configuration,
+    OperatorState,
+    RequestKind,
+    Route,
+    ServiceOptions,
+    SplitPart,
+)
+
+
+class VirtualClock:
+    def __init__(self):
+        self.time = 100.0
+
+    def now(self):
+        return self.time
+
+    def unix(self):
+        return self.time
+
+
+class Head:
+    """Head of an answer whose body is at hand."""
+
+    def __init__(self, status=200, body=b"whole"):
+        self.status = status
+        self.headers = (("X-Own", "1"),)
+        self.content_length = len(body)
+        self._body = body
+
+    async def __aiter__(self):
+        yield self._body
+
+
+class ScriptedClient:
+    """Each attempt takes the next step: a head, or the stop that it ends with.
+
+    :ivar requests: attempts so far.
+    """
+
+    def __init__(self, clock, steps, step_s=0.01):
+        self._clock = clock
+        self._steps = list(steps)
+        self._step_s = step_s
+        self.requests = []
+
+    async def attempt(self, request):
+        self.requests.append(request)
+        step = self._steps.pop(0)
+        await asyncio.sleep(0)
+        self._clock.time += self._step_s
+        if isinstance(step, Stop):
+            raise AttemptError(step, "scripted")
+        return step
+
+
+class NoLoad:
+    def load_of(self, head):
+        return None
+
+
+def make_route(kind=RequestKind.SAFE, attempts=2, **fields):
+    parts = (SplitPart("stock", 1),)
+    return Route("r", "a.example", "/x/", kind, parts, 0.8, 0.25, attempts, **fields)
+
+
+def make_forwarder(steps, route=None, servers=4, vms=1, budget=None, step_s=0.01):
+    """Return a forwarder with its clock, client and loads."""
+    clock = VirtualClock()
+    registry = Registry()
+    records = [
+        ServerRecord(f"s{number}", "stock", Endpoint("10.0.0.1", 80 + number), "serra-a", 4)
+        for number in range(servers)
+    ]
+    registry.replace_all(clock.now(), 10, records, gap_s=0.5)
+    loads = ServerLoads()
+    view = FleetView("vm-1", "serra", "serra-a")
+    options = PickerOptions("vm-1", "serra", {"serra-a": "serra"}, 0.05)
+    picker = Picker(options, registry, view, loads)
+    client = ScriptedClient(clock, steps, step_s)
+    forwarder = Forwarder(
+        picker,
+        loads,
+        client,
+        NoLoad(),
+        budget or BudgetOptions(10.0, 0.2, 100.0),
+        Metrics(),
+        lambda: vms,
+        clock,
+    )
+    services = {"stock": ServiceOptions("stock")}
+    configuration = Configuration(1, (route or make_route(),), services)
+    picker.set_operator(OperatorState(1, configuration))
+    picker.move_shares(clock.now(), {})
+    forwarder.set_configuration(configuration)
+    return forwarder, clock, client, loads
+
+
+def make_request(clock, path="/x/1", time_left_s=2.0, body=b""):
+    return CallerRequest(
+        "id-1", "GET", "a.example", path, path, (), body, "17", time_left_s, clock.now()
+    )
--- a/src/hibiscushaven/platform/store.py
+++ b/src/hibiscushaven/platform/store.py
@@ -205,6 +205,9 @@
             self._session = aiohttp.ClientSession(
                 connector=connector, cookie_jar=aiohttp.DummyCookieJar(), trust_env=False
             )
+            # aiohttp repeats a call on a reused connection that was closed; every call counts
+            # against the store's rates, and ``ReadingTurn`` spaces repeats.
+            self._session._retry_connection = False
         return self._session
 
     def _decode_configuration(self, value: bytes | None) -> Configuration | None:
--- /dev/null
+++ b/src/hibiscushaven/platform/tests/backend_standin.py
@@ -0,0 +1,106 @@
+"""Raw backend server that answers with scripted bytes."""
+
+import asyncio
+import contextlib
+
+
+class BackendStandIn:
+    """Answers each request with the next script.
+
+    A script is called with the request's head and the writer.
+
+    :ivar requests: heads and bodies of the requests that arrived.
+    :ivar closed: number of connections that the other side closed.
+    """
+
+    def __init__(self, *scripts):
+        self.scripts = list(scripts)
+        self.requests = []
+        self.connections = 0
+        self.closed = asyncio.Event()
+        self._server = None
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return self._server.sockets[0].getsockname()[1]
+
+    async def close(self):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                length = header(head, "Content-Length")
+                body = await reader.readexactly(int(length)) if length else b""
+                self.requests.append((head, body))
+                await self.scripts.pop(0)(head, writer)
+        self.closed.set()
+        writer.close()
+
+
+def header(head, name):
+    for line in head.split("\r\n"):
+        key, _, value = line.partition(":")
+        if key.lower() == name.lower():
+            return value.strip()
+    return None
+
+
+def answer(
+    body=b"whole", status=200, seal="1.2.3", request_id=None, length=None, extra=b"", **headers
+):
+    """Return a script that answers with these parts."""
+
+    async def script(head, writer):
+        echoed = request_id or header(head, "Request-Id")
+        fields = {
+            "Request-Id": echoed,
+            "Response-Seal": seal,
+            "Content-Length": str(len(body) if length is None else length),
+            **{name.replace("_", "-"): value for name, value in headers.items()},
+        }
+        lines = [f"HTTP/1.1 {status} X"]
+        lines += [f"{name}: {value}" for name, value in fields.items() if value]
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body + extra)
+        await writer.drain()
+
+    return script
+
+
+def unframed(body, is_reset):
+    """Return a script for an answer that ends with its connection."""
+
+    async def script(head, writer):
+        request_id = header(head, "Request-Id")
+        writer.write(
+            f"HTTP/1.1 200 X\r\nRequest-Id: {request_id}\r\nResponse-Seal: 1\r\n\r\n".encode()
+        )
+        writer.write(body)
+        await writer.drain()
+        if is_reset:
+            import socket
+            import struct
+
+            # Time for the bytes to be read: a reset discards what waits at the other end.
+            await asyncio.sleep(0.02)
+            raw = writer.get_extra_info("socket")
+            linger = struct.pack("ii", 1, 0)
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+        else:
+            writer.close()
+        raise ConnectionResetError
+
+    return script
+
+
+async def broken(head, writer):
+    """Close the connection without an answer."""
+    writer.close()
+    raise ConnectionResetError
+
+
+async def silent(head, writer):
+    """Never answer."""
--- /dev/null
+++ b/src/hibiscushaven/platform/tests/test_backends.py
@@ -0,0 +1,162 @@
+"""Attempts on backend servers of the platform: whole answers to the own request or none."""
+
+import asyncio
+
+import pytest
+
+from hibiscushaven.delivery import AttemptError, AttemptRequest, BackendClient, Outcome, Stop
+from hibiscushaven.ini.fields import Endpoint
+from hibiscushaven.platform.dialects import PlatformBackends
+
+from .backend_standin import BackendStandIn, answer, broken, header, silent, unframed
+
+
+def attempt_all(scripts, count=1, timeout_s=5.0, **fields):
+    """Send attempts one after the other; return their results and the stand-in."""
+
+    async def main():
+        stand_in = BackendStandIn(*scripts)
+        port = await stand_in.start()
+        client = BackendClient(dialect=PlatformBackends())
+        results = []
+        for number in range(count):
+            request = AttemptRequest(
+                Endpoint("127.0.0.1", port),
+                fields.get("method", "GET"),
+                fields.get("target", "/a/b?c=%2f"),
+                f"id-{number}",
+                asyncio.get_running_loop().time() + timeout_s,
+                fields.get("headers", ()),
+                fields.get("body", b""),
+                server_id="i-1",
+                head_timeout_s=timeout_s,
+            )
+            try:
+                head = await client.attempt(request)
+                results.append((head.status, await head.read(10**6)))
+            except AttemptError as error:
+                results.append(error)
+        await client.close()
+        await stand_in.close()
+        return results, stand_in
+
+    return asyncio.run(main())
+
+
+def test_request_arrives_unchanged_with_its_identity_and_time():
+    headers = (
+        ("X-Own", "1"),
+        ("Connection", "close, X-Hop"),
+        ("X-Hop", "1"),
+        ("Deadline-Ms", "99999"),
+        ("Expect-Instance", "forged"),
+        ("Request-Id", "id-0"),
+    )
+    scripts = [answer(b"fine")]
+    results, stand_in = attempt_all(scripts, headers=headers, method="POST", body=b"order")
+    assert results == [(200, b"fine")]
+    head, body = stand_in.requests[0]
+    assert head.startswith("POST /a/b?c=%2f HTTP/1.1\r\n") and body == b"order"
+    assert header(head, "X-Own") == "1" and header(head, "X-Hop") is None
+    assert header(head, "Expect-Instance") == "i-1"
+    assert head.lower().count("request-id:") == 1
+    assert 4000 < int(header(head, "Deadline-Ms")) <= 5000
+
+
+@pytest.mark.parametrize(
+    "script, stop, outcome",
+    [
+        (answer(status=503, Not_Executed="1"), Stop.REFUSED, Outcome.NOT_RUN),
+        (answer(status=421, Instance_Id="i-2"), Stop.MISDIRECTED, Outcome.NOT_RUN),
+        (answer(request_id="id-other"), Stop.WRONG_ATTEMPT_ID, Outcome.UNKNOWN),
+        (answer(seal=None), Stop.MALFORMED, Outcome.UNKNOWN),
+        (answer(Content_Encoding="gzip"), Stop.MALFORMED, Outcome.UNKNOWN),
+        (unframed(b"half", is_reset=True), Stop.TRUNCATED, Outcome.UNKNOWN),
+        (broken, Stop.CONNECTION_LOST, Outcome.UNKNOWN),
+    ],
+)
+def test_what_is_no_answer_is_told_apart(script, stop, outcome):
+    results, _ = attempt_all([script])
+    assert results[0].stop is stop
+    assert results[0].outcome is outcome
+
+
+def test_answer_that_ends_with_its_connection_is_whole():
+    results, _ = attempt_all([unframed(b"whole", is_reset=False)])
+    assert results == [(200, b"whole")]
+
+
+def test_truncated_answer_is_none():
+    async def script(head, writer):
+        await answer(b"half", length=10)(head, writer)
+        await broken(head, writer)
+
+    results, _ = attempt_all([script])
+    assert results[0].stop is Stop.TRUNCATED
+
+
+def test_silence_ends_with_the_time_limit():
+    results, _ = attempt_all([silent], timeout_s=0.1)
+    assert results[0].outcome is Outcome.UNKNOWN
+
+
+def test_failures_of_the_server_are_its_answers():
+    results, _ = attempt_all([answer(b"no", status=500), answer(b"late", status=504)], count=2)
+    assert results == [(500, b"no"), (504, b"late")]
+
+
+def test_refusal_keeps_the_connection():
+    scripts = [answer(status=503, Not_Executed="1"), answer(b"fine")]
+    results, stand_in = attempt_all(scripts, count=2)
+    assert results[1] == (200, b"fine")
+    assert stand_in.connections == 1
+
+
+def test_second_answer_never_reaches_the_next_request():
+    late = b"HTTP/1.1 200 X\r\nRequest-Id: id-0\r\nResponse-Seal: 9\r\nContent-Length: 3\r\n\r\nold"
+    scripts = [answer(b"first", extra=late), answer(b"second")]
+    results, _ = attempt_all(scripts, count=2)
+    assert all(not isinstance(result, tuple) or result[1] != b"old" for result in results)
+    assert results[1] == (200, b"second")
+
+
+def test_garbage_after_an_answer_never_reaches_the_next_request():
+    scripts = [answer(b"first", extra=b"\x00\x01 garbage\r\n\r\n"), answer(b"second")]
+    results, _ = attempt_all(scripts, count=2)
+    assert results[1] == (200, b"second")
+
+
+def test_load_report():
+    async def main():
+        stand_in = BackendStandIn(answer(Server_Load="3,1,8,250"))
+        port = await stand_in.start()
+        dialect = PlatformBackends()
+        client = BackendClient(dialect=dialect)
+        deadline = asyncio.get_running_loop().time() + 5
+        request = AttemptRequest(Endpoint("127.0.0.1", port), "GET", "/", "id", deadline)
+        head = await client.attempt(request)
+        await head.read(100)
+        await client.close()
+        await stand_in.close()
+        return dialect.load_of(head)
+
+    report = asyncio.run(main())
+    assert (report.running, report.waiting, report.slots, report.slowness) == (3, 1, 8, 2.5)
+
+
+def test_cancelled_attempt_closes_its_connection():
+    async def main():
+        stand_in = BackendStandIn(silent)
+        port = await stand_in.start()
+        client = BackendClient(dialect=PlatformBackends())
+        deadline = asyncio.get_running_loop().time() + 30
+        request = AttemptRequest(Endpoint("127.0.0.1", port), "GET", "/", "id", deadline)
+        task = asyncio.create_task(client.attempt(request))
+        while not stand_in.requests:
+            await asyncio.sleep(0)
+        task.cancel()
+        await asyncio.wait_for(stand_in.closed.wait(), 20)
+        await client.close()
+        await stand_in.close()
+
+    asyncio.run(main())
--- /dev/null
+++ b/src/hibiscushaven/platform/tests/test_decode.py
@@ -0,0 +1,69 @@
+"""Rows of the platform are decoded whole or refused."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hibiscushaven.platform.decode import DecodeError, decode_configuration, decode_server
+from hibiscushaven.routing import RequestKind, SplitPart
+
+from .samples import configuration_row, route_item, server_row
+
+json_values = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=5), inner),
+    max_leaves=8,
+)
+
+
+def test_configuration():
+    split = [{"Service": "a", "Weight": 90}, {"Service": "b", "Weight": 10}]
+    routes = [
+        route_item("r-1"),
+        route_item("r-2", Kind="unsafe", TrafficSplit=split, HomeRegions=["serra"]),
+    ]
+    configuration = decode_configuration(configuration_row(7, routes))
+    assert configuration.version == 7
+    first, second = configuration.routes
+    assert (first.timeout_s, first.objective_s, first.max_attempts) == (0.8, 0.25, 2)
+    assert first.parts == (SplitPart("stock", 1.0),)
+    assert second.kind is RequestKind.UNSAFE
+    assert second.parts == (SplitPart("a", 90), SplitPart("b", 10))
+    assert second.home_regions == {"serra"}
+    assert configuration.services["stock"].warmup_per_s == 9.5
+    assert configuration.limits.max_body_bytes == 1000
+
+
+@given(json_values)
+def test_any_other_configuration_is_refused(body):
+    with pytest.raises(DecodeError):
+        decode_configuration(body)
+
+
+def test_server():
+    record = decode_server("s1", server_row())
+    assert (record.service, str(record.address), record.slots) == ("stock", "10.0.0.9:8080", 4)
+    assert record.started_unix_ms == 1000 and not record.is_leaving
+    assert decode_server("s1", server_row(state="draining")).is_leaving
+
+
+@given(json_values)
+def test_any_other_server_is_refused(body):
+    with pytest.raises(DecodeError):
+        decode_server("s1", body)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"Address": "nowhere"},
+        {"Address": None},
+        {"Info": {}},
+        {"Status": {"State": "asleep"}},
+        {"born": "yesterday"},
+        {"Info": {"Service": "s", "Zone": "z", "Concurrency": "4"}},
+    ],
+)
+def test_wrong_fields_are_refused(change):
+    with pytest.raises(DecodeError):
+        decode_server("s1", {**server_row(), **change})
--- /dev/null
+++ b/src/hibiscushaven/routing/tests/test_routing.py
@@ -0,0 +1,84 @@
+"""Routes are found by host and longest prefix, and splits keep their proportions."""
+
+from collections import Counter
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hibiscushaven.routing import (
+    CallerLimits,
+    Configuration,
+    RequestKind,
+    Route,
+    RouteTable,
+    ServiceOptions,
+    SplitChooser,
+    SplitPart,
+)
+from hibiscushaven.routing.codec import from_plain, to_plain
+
+
+def make_route(name="r", host="a.example", prefix="/", parts=(("stock", 1.0),), homes=()):
+    split = tuple(SplitPart(*part) for part in parts)
+    return Route(
+        name, host, prefix, RequestKind.SAFE, split, 1.0, 0.2, home_regions=frozenset(homes)
+    )
+
+
+segments = st.lists(st.sampled_from(["a", "b", "c"]), max_size=4)
+
+
+@given(st.sets(segments.map(tuple), max_size=8), segments, st.booleans())
+def test_longest_prefix_wins(prefixes, path, has_slash):
+    routes = [make_route("/".join(p), prefix="/" + "".join(f"{s}/" for s in p)) for p in prefixes]
+    table = RouteTable(Configuration(1, tuple(routes)))
+    text = "/" + "/".join(path) + ("/" if has_slash and path else "")
+    found = table.find("a.example", text)
+    fitting = [route for route in routes if text.startswith(route.prefix)]
+    assert found == max(fitting, key=lambda route: len(route.prefix), default=None)
+
+
+def test_other_hosts_do_not_match():
+    table = RouteTable(Configuration(1, (make_route(),)))
+    assert table.find("b.example", "/") is None
+    assert table.find("A.EXAMPLE:8080", "/x") is not None
+
+
+def test_home_regions_of_a_host():
+    homed = make_route("x", prefix="/x/", homes=("serra",))
+    other = make_route("y", prefix="/y/", homes=("vale",))
+    assert RouteTable(Configuration(1, (homed, other))).home_regions("a.example") == {
+        "serra",
+        "vale",
+    }
+    free = make_route("z", prefix="/z/")
+    assert RouteTable(Configuration(1, (homed, free))).home_regions("a.example") == frozenset()
+
+
+@given(st.lists(st.integers(1, 100), min_size=2, max_size=4), st.integers(1, 300))
+def test_split_keeps_proportions_in_every_run(weights, count):
+    parts = tuple((f"s{index}", float(weight)) for index, weight in enumerate(weights))
+    route = make_route(parts=parts)
+    chooser = SplitChooser()
+    chosen = Counter(chooser.choose(route) for _ in range(count))
+    for name, weight in parts:
+        assert abs(chosen[name] - count * weight / sum(weights)) <= len(parts)
+
+
+def test_split_starts_anew_when_weights_change():
+    chooser = SplitChooser()
+    for _ in range(7):
+        chooser.choose(make_route(parts=(("a", 9.0), ("b", 1.0))))
+    changed = make_route(parts=(("a", 1.0), ("b", 9.0)))
+    chosen = Counter(chooser.choose(changed) for _ in range(10))
+    assert chosen == {"a": 1, "b": 9}
+
+
+def test_configuration_survives_its_plain_form():
+    configuration = Configuration(
+        7,
+        (make_route(parts=(("a", 90.0), ("b", 10.0)), homes=("serra",)),),
+        {"a": ServiceOptions("a", "/health", 815, 3.0, 9.5)},
+        CallerLimits(1000, 2000, 3.0, 4.0),
+    )
+    assert from_plain(to_plain(configuration)) == configuration
