--- a/src/hibiscushaven/forwarding/forwarder.py
+++ b/src/hibiscushaven/forwarding/forwarder.py
@@ -392,6 +392,7 @@
                 "sent": course.sent,
                 "limit_s": round(course.deadline - request.received_at, 3),
                 "why": course.last,
+                "object": request.object_key,
             }
             if course.placement is not None:
                 placed = course.placement
--- a/src/hibiscushaven/placement/affinity.py
+++ b/src/hibiscushaven/placement/affinity.py
@@ -6,17 +6,14 @@
 
 from hibiscushaven.fleet import token_of as hash_of
 
-__all__ = ["ObjectOrder", "RecentObjects", "position_of"]
+__all__ = ["COPIES", "ObjectOrder", "position_of"]
 
 # Orders that are kept; enough for all objects of today's services.
 ORDER_LIMIT = 4096
 
-# Time after which an object that was not asked for is no longer counted.
-RECENT_S = 20.0
-
-# Objects that a backend server is assumed to keep ready. With fewer copies of each object,
-# requests wait for its servers while others idle; with more, servers forget objects.
-KEPT_OBJECTS = 32
+# Servers of a region that should know each object. With one, requests wait for it while others
+# idle; with three, servers know too many objects and forget them in between.
+COPIES = 2
 
 _MAX_HASH = 2.0**32
 
@@ -67,28 +64,3 @@
             if len(self._orders) > ORDER_LIMIT:
                 self._orders.popitem(last=False)
         return found
-
-
-class RecentObjects:
-    """Objects that callers asked for of late, to estimate how many there are."""
-
-    def __init__(self) -> None:
-        self._seen: OrderedDict[str, float] = OrderedDict()
-
-    def __len__(self) -> int:
-        return len(self._seen)
-
-    def note(self, now: float, key: str) -> None:
-        """Note a request for an object."""
-        self._seen[key] = now
-        self._seen.move_to_end(key)
-        while self._seen and next(iter(self._seen.values())) < now - RECENT_S:
-            self._seen.popitem(last=False)
-        if len(self._seen) > ORDER_LIMIT:
-            self._seen.popitem(last=False)
-
-    def copies(self, servers: int) -> int:
-        """Return how many of so many servers should know each object."""
-        if not self._seen:
-            return servers
-        return max(1, min(servers, servers * KEPT_OBJECTS // len(self._seen)))
--- a/src/hibiscushaven/placement/picker.py
+++ b/src/hibiscushaven/placement/picker.py
@@ -7,7 +7,7 @@
 from hibiscushaven.fleet import FleetView, token_of
 from hibiscushaven.routing import Configuration, OperatorState, Route
 
-from .affinity import ObjectOrder, RecentObjects, position_of
+from .affinity import COPIES, ObjectOrder, position_of
 from .flows import PRIOR_PART, RegionShares, target_shares
 from .loads import ServerLoad, ServerLoads, WorkTimes
 from .warmup import KEEPERS, WarmupGate
@@ -96,7 +96,6 @@
     def __init__(self, options: PickerOptions) -> None:
         self.times = WorkTimes()
         self.shares = RegionShares(options.region, options.shift_per_s)
-        self.objects = RecentObjects()
         self.overflow = OVERFLOW_BURST
 
 
@@ -169,8 +168,6 @@
         if not groups:
             return NoRoom("no backend server is usable", self._pause_s(demand), 0)
         state = self._state(demand.service)
-        if demand.key is not None:
-            state.objects.note(now, demand.key)
         region = self._region(now, demand, groups, state)
         choice = self._pick_in(now, demand, region, groups[region], state)
         if isinstance(choice, Placement):
@@ -302,7 +299,7 @@
             order, copies = tuple(by_id), len(by_id)
         else:
             order = self._order.of(demand.key, tuple(by_id))
-            copies = state.objects.copies(len(order))
+            copies = COPIES
         best: Placement | None = None
         best_cost = 0.0
         soonest_s = demand.time_left_s
