--- a/src/hibiscushaven/placement/loads.py
+++ b/src/hibiscushaven/placement/loads.py
@@ -7,6 +7,9 @@
 # Weight of a new measurement in a moving mean: the last ten count most.
 SMOOTHING = 0.1
 
+# The same for the work times of a service, of which a VM sees some each second.
+TIMES_SMOOTHING = 0.02
+
 # A server's report of how fast its machine is changes several times a second.
 REPORT_LIFE_S = 0.4
 
@@ -142,16 +145,14 @@
 class WorkTimes:
     """Moving means of the work times of a service, in seconds.
 
-    :ivar known_s: for objects that the backend server knows.
+    :ivar known_s: for objects that the backend server should know.
     :ivar unknown_s: for other objects.
+    :ivar mean_s: for all.
     """
 
     known_s: float = 0.1
     unknown_s: float = 0.25
-
-    @property
-    def mean_s(self) -> float:
-        return (self.known_s + self.unknown_s) / 2
+    mean_s: float = 0.15
 
     def expected_s(self, is_known: bool) -> float:
         return self.known_s if is_known else self.unknown_s
@@ -159,6 +160,7 @@
     def record(self, is_known: bool, seconds: float) -> None:
         """Note a work time that no queue is part of."""
         if is_known:
-            self.known_s += 0.02 * (seconds - self.known_s)
+            self.known_s += TIMES_SMOOTHING * (seconds - self.known_s)
         else:
-            self.unknown_s += 0.02 * (seconds - self.unknown_s)
+            self.unknown_s += TIMES_SMOOTHING * (seconds - self.unknown_s)
+        self.mean_s += TIMES_SMOOTHING * (seconds - self.mean_s)
--- a/src/hibiscushaven/placement/picker.py
+++ b/src/hibiscushaven/placement/picker.py
@@ -14,9 +14,13 @@
 
 __all__ = ["Demand", "NoRoom", "Picker", "PickerOptions", "Placement"]
 
-# Requests that may wait at a backend server, as a multiple of its slots. A longer queue only
-# makes answers late that another caller could have had in time.
-QUEUE_PART = 1.0
+# Requests that may wait at a backend server, as a multiple of its slots.
+QUEUE_PART = 2.0
+
+# Part of a region's slots in use up to which a request may go to a server that does not know
+# its object. It takes a slot for about three times as long there, and makes the server forget
+# another object; under load that would spread until no server knows anything.
+SPREAD_PART = 0.5
 
 # Advantage of each place in the order of an object over the next one, as a part of the work
 # time: enough to decide between equals.
@@ -303,13 +307,18 @@
         best: Placement | None = None
         best_cost = 0.0
         soonest_s = demand.time_left_s
-        for place, server_id in enumerate(order):
+        place = -1
+        may_spread = self._filled(servers) < SPREAD_PART
+        for server_id in order:
             server = by_id[server_id]
             load = self._loads.of(server_id)
             if load.is_avoided(now, state.times.unknown_s) or not self._may_send(now, server):
                 continue
+            place += 1
             busy = self.busy(server_id)
             is_known = place < copies
+            if not is_known and (not may_spread or busy >= server.record.slots):
+                continue
             work_s, wait_s = self._predict(now, server, load, busy, is_known, state)
             soonest_s = min(soonest_s, wait_s)
             if not _has_room(busy, server.record.slots, work_s + wait_s, demand):
