--- a/src/hibiscushaven/commands/main.py
+++ b/src/hibiscushaven/commands/main.py
@@ -14,6 +14,7 @@
     "demo": ("demo", "demo"),
     "document": ("document", "document"),
     "entry": ("entry", "entry"),
+    "explain": ("explain", "explain"),
     "gateway": ("gateway", "gateway"),
     "lookup": ("calls", "lookup"),
     "metrics": ("calls", "metrics"),
--- /dev/null
+++ b/src/hibiscushaven/commands/tests/test_gateway_commands.py
@@ -0,0 +1,47 @@
+"""Commands of the gateway: checked settings and explained requests."""
+
+import json
+
+from click.testing import CliRunner
+
+from hibiscushaven.commands import main
+from hibiscushaven.gateway.tests.test_settings import GOOD
+
+
+def run(*arguments):
+    return CliRunner().invoke(main, arguments)
+
+
+def test_help_lists_every_command():
+    output = run("--help").output
+    for name in ("demo", "document", "entry", "explain", "gateway", "lookup", "request"):
+        assert name in output
+    assert run("nonsense").exit_code == 2
+
+
+def test_settings_are_checked(tmp_path):
+    path = tmp_path / "gateway.ini"
+    path.write_text(GOOD)
+    assert run("gateway", "--settings", str(path), "--check").exit_code == 0
+    path.write_text(GOOD.replace("grace = 6s", "grace = soon"))
+    result = run("gateway", "--settings", str(path), "--check")
+    assert result.exit_code == 2 and "grace = 'soon'" in result.output
+
+
+def test_request_is_explained_across_files(tmp_path):
+    first, second = tmp_path / "a.log", tmp_path / "b.log"
+    first.write_text("noise\n" + _line("a", "store lost", why="status 503"))
+    second.write_text(
+        "  1.2 b " + _line("b", "attempt failed", request_id="x", stop="refused")
+        + _line("b", "request ended", request_id="x", status=503)
+        + _line("b", "request ended", request_id="y", status=200)
+    )  # fmt: skip
+    output = run("explain", "x", str(first), str(second)).output
+    assert "stop='refused'" in output and "status=503" in output
+    assert "status=200" not in output and "store lost" not in output
+    missing = run("explain", "z", str(first))
+    assert missing.exit_code == 1 and "'z'" in missing.output
+
+
+def _line(vm, message, **fields):
+    return json.dumps({"asctime": "1", "vm": vm, "message": message, **fields}) + "\n"
--- /dev/null
+++ b/src/hibiscushaven/gateway/tests/test_settings.py
@@ -0,0 +1,62 @@
+"""Settings of the gateway are checked whole."""
+
+from hibiscushaven.gateway.settings import load_gateway_settings, parse_gateway_settings
+
+GOOD = """
+[vm]
+name = front-1
+region = serra
+failure_domain = serra-a
+host = 10.1.0.34
+failure_domains = serra-a:serra,vale-a:vale
+[listen]
+callers = 10.1.0.34:8548
+readiness = 10.1.0.34:8542
+directory = 10.1.0.34:8546
+status = 10.1.0.34:8544
+metrics_port = 9464
+peer_port = 7540
+[peers]
+seeds = 10.1.0.34:8544,10.2.0.34:8544
+[store]
+address = 10.200.1.7:8541
+[bounds]
+grace = 6s
+shift_cap = 0.15
+retry_window = 10s
+retry_ratio = 0.2
+retry_fixed = 130
+"""
+
+
+def test_good_settings():
+    settings = parse_gateway_settings(GOOD).ok
+    options = settings.options
+    assert str(options.peers_at) == "10.1.0.34:7540"
+    assert options.seeds == ("10.1.0.34:7540", "10.2.0.34:7540")
+    assert options.regions == {"serra-a": "serra", "vale-a": "vale"}
+    assert options.budget.fixed == 130 and options.grace_s == 6.0
+    assert str(settings.store_at) == "10.200.1.7:8541"
+
+
+def test_seeds_may_be_missing():
+    text = GOOD.replace("seeds = 10.1.0.34:8544,10.2.0.34:8544", "seeds =")
+    assert parse_gateway_settings(text).ok.options.seeds == ()
+
+
+def test_every_wrong_field_is_named():
+    text = (
+        GOOD.replace("grace = 6s", "grace = soon")
+        .replace("callers = 10.1.0.34:8548", "callers = here")
+        .replace("peer_port = 7540", "peer_port = 0")
+        .replace("failure_domain = serra-a", "failure_domain = vale-a")
+    )
+    problems = "\n".join(str(problem) for problem in parse_gateway_settings(text).error)
+    for part in ("grace = 'soon'", "callers = 'here'", "peer_port = '0'", "'vale-a'"):
+        assert part in problems
+
+
+def test_missing_sections_and_files_are_named(tmp_path):
+    problems = [str(problem) for problem in parse_gateway_settings("").error]
+    assert [p.partition(":")[0] for p in problems] == ["[vm]", "[listen]", "[store]"]
+    assert load_gateway_settings(str(tmp_path / "none.ini")).is_error()
