--- a/src/hibiscushaven/fleet/messages.py
+++ b/src/hibiscushaven/fleet/messages.py
@@ -1,6 +1,6 @@
 """Messages by which VMs tell each other what they know."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field, fields
 from typing import Any
 
@@ -35,6 +35,8 @@
     :ivar in_progress: its requests in progress by token of the backend server.
     :ivar lost: seconds since it lost a backend server, by token.
     :ivar arrivals: requests a second from its callers by token of the service.
+    :ivar slowness: latest reports of backend servers by token, in percent of the usual work
+        time, with their age in seconds.
     """
 
     name: str
@@ -54,6 +56,7 @@
     in_progress: Mapping[int, int] = field(default_factory=dict)
     lost: Mapping[int, float] = field(default_factory=dict)
     arrivals: Mapping[int, float] = field(default_factory=dict)
+    slowness: Mapping[int, Sequence[float]] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,9 +114,17 @@
         for token, amount in amounts.items():
             if not (isinstance(token, int) and isinstance(amount, int | float)):
                 raise MessageError(f"{name} {token!r}: {amount!r} is no amount")
+    for token, report in getattr(message, "slowness", {}).items():
+        if not (isinstance(token, int) and _is_pair(report)):
+            raise MessageError(f"slowness {token!r}: {report!r} is no report")
     return message
 
 
+def _is_pair(value: object) -> bool:
+    is_pair = isinstance(value, list | tuple) and len(value) == 2
+    return is_pair and all(isinstance(item, int | float) for item in value)
+
+
 def _type_name(kind: object) -> str:
     return kind.__name__ if isinstance(kind, type) else str(kind)
 
--- a/src/hibiscushaven/fleet/view.py
+++ b/src/hibiscushaven/fleet/view.py
@@ -48,6 +48,7 @@
         self._digests: dict[str, tuple[RegionDigest, float]] = {}
         # Sums of the requests in progress by token, kept up to date with each message.
         self._in_progress: dict[int, int] = {}
+        self._slowness: dict[int, tuple[float, float]] = {}
 
     def on_state(self, now: float, state: VmState) -> bool:
         """Take a state; return whether its VM was not known to be up."""
@@ -61,6 +62,9 @@
             self._count(peer.state, -1)
         self._peers[state.name] = _Peer(state, now)
         self._count(state, 1)
+        for token, (percent, age_s) in state.slowness.items():
+            if now - age_s > self._slowness.get(token, (0.0, float("-inf")))[1]:
+                self._slowness[token] = percent / 100, now - age_s
         return not was_up
 
     def on_digest(self, now: float, digest: RegionDigest) -> None:
@@ -92,6 +96,9 @@
                 self._count(peer.state, -1)
                 peer.state = _without_load(peer.state)
                 silent.append(name)
+        for token, (_, at) in list(self._slowness.items()):
+            if now - at > DIGEST_LIFE_S:
+                del self._slowness[token]
         for region, (digest, at) in list(self._digests.items()):
             if now - at > DIGEST_LIFE_S:
                 self._add(digest.in_progress, -1)
@@ -102,6 +109,10 @@
         """Return the requests in progress of all other VMs on a backend server."""
         return self._in_progress.get(token, 0)
 
+    def slowness(self, token: int) -> tuple[float, float]:
+        """Return the latest slowness of a backend server that others tell, and its time."""
+        return self._slowness.get(token, (1.0, float("-inf")))
+
     def up(self, now: float) -> list[VmState]:
         """Return the VMs that are up, by name."""
         return [
@@ -194,4 +205,4 @@
 
 def _without_load(state: VmState) -> VmState:
     fields = {name: getattr(state, name) for name in VmState.__slots__}
-    return VmState(**{**fields, "in_progress": {}, "arrivals": {}, "lost": {}})
+    return VmState(**{**fields, "in_progress": {}, "arrivals": {}, "lost": {}, "slowness": {}})
--- a/src/hibiscushaven/forwarding/forwarder.py
+++ b/src/hibiscushaven/forwarding/forwarder.py
@@ -32,6 +32,7 @@
 from hibiscushaven.routing import Configuration, Route, RouteTable, SplitChooser
 
 from .messages import Answer, CallerRequest, failure, refusal
+from .returns import ReturnDetector
 
 __all__ = ["BudgetOptions", "Forwarder", "LoadReader"]
 
@@ -84,6 +85,7 @@
     route: Route
     service: str
     deadline: float
+    is_return: bool
     tried: set[str] = field(default_factory=set)
     sent: int = 0
     sent_at: float = 0.0
@@ -141,6 +143,7 @@
         self._on_change = on_change
         self._budgets: dict[str, RetryBudget] = {}
         self._splits = SplitChooser()
+        self._returns = ReturnDetector()
         self._crashes = CrashLedger()
         self._suspects = CrashSuspects()
         self._table: RouteTable | None = None
@@ -158,7 +161,9 @@
         """Use a newer configuration for the requests that arrive from now on."""
         self._table = RouteTable(configuration)
         self._version = configuration.version
-        self._splits.keep_only(frozenset(route.name for route in configuration.routes))
+        names = frozenset(route.name for route in configuration.routes)
+        self._splits.keep_only(names)
+        self._returns.keep_only(names)
 
     def take_arrivals(self) -> dict[str, int]:
         """Return the requests by service since the last call."""
@@ -194,10 +199,12 @@
         limit_s = route.timeout_s
         if request.time_left_s is not None:
             limit_s = min(limit_s, request.time_left_s)
+        is_return = self._returns.is_return(route.name, request.time_left_s)
         service = self._splits.choose(route)
         self._arrivals[service] = self._arrivals.get(service, 0) + 1
         self._budget_of(service).count_request(request.received_at)
-        return _Course(request, route, service, request.received_at + limit_s)
+        deadline = request.received_at + limit_s
+        return _Course(request, route, service, deadline, is_return)
 
     async def _run(self, course: _Course) -> Answer:
         if self._crashes.is_quarantined(self._now(), course.fingerprint):
@@ -231,6 +238,7 @@
             course.route.objective_s - elapsed,
             course.deadline - now,
             frozenset(course.tried),
+            course.is_return,
         )
 
     def _may_repeat(self, now: float, course: _Course) -> bool:
@@ -390,6 +398,7 @@
                 "route": course.route.name,
                 "service": course.service,
                 "sent": course.sent,
+                "is_return": course.is_return,
                 "limit_s": round(course.deadline - request.received_at, 3),
                 "why": course.last,
                 "object": request.object_key,
--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -283,6 +283,10 @@
             in_progress=self._own_in_progress(),
             lost={token_of(name): age for name, age in self.loads.lost(now, LOSS_NEWS_S).items()},
             arrivals={token_of(name): rate for name, rate in self._arrivals.items()},
+            slowness={
+                token_of(name): (round(100 * slowness), round(age_s, 3))
+                for name, (slowness, age_s) in self.loads.reports(now).items()
+            },
         )
 
     def _own_in_progress(self) -> dict[int, int]:
--- a/src/hibiscushaven/placement/loads.py
+++ b/src/hibiscushaven/placement/loads.py
@@ -13,6 +13,9 @@
 # A server's report of how fast its machine is changes several times a second.
 REPORT_LIFE_S = 0.4
 
+# Age up to which reports are told to other VMs; each is told in several states.
+NEWS_LIFE_S = 0.1
+
 # Pauses after failures in a row, doubled each time: short, since a server that restarts is
 # back after some seconds and a probe costs one request that can be sent again.
 FIRST_PAUSE_S = 0.25
@@ -61,11 +64,16 @@
     def in_progress(self) -> int:
         return len(self.started)
 
-    def slowness(self, now: float) -> float:
-        """Return how many times longer than usual work takes."""
-        reported = 1.0
-        if self.report is not None and now - self.reported_at < REPORT_LIFE_S:
-            reported = self.report.slowness
+    def slowness(self, now: float, told: float = 1.0, told_at: float = float("-inf")) -> float:
+        """Return how many times longer than usual work takes.
+
+        :param told: what other VMs tell, as of ``told_at``.
+        """
+        reported, at = told, told_at
+        if self.report is not None and self.reported_at >= told_at:
+            reported, at = self.report.slowness, self.reported_at
+        if now - at > REPORT_LIFE_S:
+            reported = 1.0
         return max(reported, self.relative_time)
 
     def is_avoided(self, now: float, work_s: float) -> bool:
@@ -134,6 +142,14 @@
             if load.lost_at is not None and now - load.lost_at < within_s
         }
 
+    def reports(self, now: float) -> dict[str, tuple[float, float]]:
+        """Return the latest slowness of servers with its age, for fresh reports."""
+        return {
+            name: (load.report.slowness, now - load.reported_at)
+            for name, load in self._loads.items()
+            if load.report is not None and now - load.reported_at < NEWS_LIFE_S
+        }
+
     def keep_only(self, server_ids: frozenset[str]) -> None:
         """Forget idle servers that are not named."""
         for name in [name for name in self._loads if name not in server_ids]:
--- a/src/hibiscushaven/placement/picker.py
+++ b/src/hibiscushaven/placement/picker.py
@@ -17,6 +17,11 @@
 # Requests that may wait at a backend server, as a multiple of its slots.
 QUEUE_PART = 2.0
 
+# The same for requests of callers that come back after a refusal, and the part of their time
+# that they may be predicted to take.
+RETURN_QUEUE_PART = 2.5
+RETURN_TIME_PART = 0.5
+
 # Part of a region's slots in use up to which a request may go to a server that does not know
 # its object. It takes a slot for about three times as long there, and makes the server forget
 # another object; under load that would spread until no server knows anything.
@@ -24,7 +29,7 @@
 
 # Advantage of each place in the order of an object over the next one, as a part of the work
 # time: enough to decide between equals.
-ORDER_BIAS = 0.4
+ORDER_BIAS = 0.25
 
 # Work takes about twice as long on a server that has just started.
 COLD_SLOWNESS = 2.0
@@ -62,6 +67,7 @@
     :ivar objective_left_s: time left within its objective.
     :ivar time_left_s: time left in all.
     :ivar excluded: backend servers that it was already sent to.
+    :ivar is_return: whether its caller was refused before and has come back.
     """
 
     route: Route
@@ -70,6 +76,7 @@
     objective_left_s: float
     time_left_s: float
     excluded: frozenset[str] = frozenset()
+    is_return: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -343,7 +350,8 @@
         state: _ServiceState,
     ) -> tuple[float, float]:
         """Return the predicted work time and the wait for a slot, in seconds."""
-        slowness = load.slowness(now)
+        token = self._token(server.record.server_id)
+        slowness = load.slowness(now, *self._view.slowness(token))
         if self.is_cold(now, server):
             slowness = max(slowness, COLD_SLOWNESS)
         work_s = state.times.expected_s(is_known) * slowness
@@ -372,12 +380,19 @@
 
 
 def _has_room(busy: int, slots: int, predicted_s: float, demand: Demand) -> bool:
-    """Return whether a request should go to a server with so many in progress."""
+    """Return whether a request should go to a server with so many in progress.
+
+    A caller that was refused before goes first: it may wait longer than others, up to half of
+    its time, since it would not come back again.
+    """
     if busy < slots:
         return predicted_s <= demand.time_left_s
-    if busy >= slots * (1.0 + QUEUE_PART):
-        return False
-    return predicted_s <= demand.objective_left_s
+    if demand.is_return:
+        return (
+            busy < slots * (1.0 + RETURN_QUEUE_PART)
+            and predicted_s <= RETURN_TIME_PART * demand.time_left_s
+        )
+    return busy < slots * (1.0 + QUEUE_PART) and predicted_s <= demand.objective_left_s
 
 
 def _prior(regions: Mapping[str, str], slots: Mapping[str, int], work_s: float) -> dict[str, float]:
--- a/src/hibiscushaven/placement/tests/test_picker.py
+++ b/src/hibiscushaven/placement/tests/test_picker.py
@@ -174,3 +174,35 @@
 
     share = world.picker.region_shares("stock").get("serra", 0.0)
     return "serra" if position_of(key) < share else "vale"
+
+
+def test_caller_that_comes_back_may_wait_where_others_are_refused():
+    world = World(*serra(2))
+    for name in ("s0", "s1"):
+        world.start(name, 12)
+    assert isinstance(world.pick(), NoRoom)
+    assert isinstance(world.pick(time_left_s=1.6, is_return=True), Placement)
+    assert isinstance(world.pick(time_left_s=0.2, is_return=True), NoRoom)
+
+
+def test_slowness_that_other_vms_tell_counts_while_it_is_fresh():
+    world = World(*serra(4))
+    first = world.pick().server.record.server_id
+    report = {token_of(first): (250, 0.02)}
+    state = VmState("vm-2", 1, 1, "serra", "serra-a", "a:1", "b:1", slowness=report)
+    world.view.on_state(0.0, state)
+    assert world.pick(now=0.1).server.record.server_id != first
+    assert world.pick(now=1.0).server.record.server_id == first
+
+
+def test_known_objects_stay_where_they_are_under_load():
+    world = World(*serra(10))
+    chosen = {world.pick(key="17").server.record.server_id}
+    for number in range(10):
+        world.start(f"s{number}", 3)
+    home = set()
+    for _ in range(4):
+        choice = world.pick(key="17")
+        home.add(choice.server.record.server_id)
+        world.start(choice.server.record.server_id)
+    assert chosen <= home and len(home) <= 2
