--- a/src/hibiscushaven/placement/picker.py
+++ b/src/hibiscushaven/placement/picker.py
@@ -1,13 +1,13 @@
 """Choice of the backend server for a request."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from hibiscushaven.discovery import KnownServer, Registry
 from hibiscushaven.fleet import FleetView, token_of
 from hibiscushaven.routing import Configuration, OperatorState, Route
 
-from .affinity import COPIES, ObjectOrder, position_of
+from .affinity import ObjectOrder, ObjectSample, copies_of, position_of
 from .flows import PRIOR_PART, RegionShares, target_shares
 from .loads import ServerLoad, ServerLoads, WorkTimes
 from .warmup import KEEPERS, WarmupGate
@@ -107,6 +107,9 @@
     def __init__(self, options: PickerOptions) -> None:
         self.times = WorkTimes()
         self.shares = RegionShares(options.region, options.shift_per_s)
+        self.sample = ObjectSample()
+        # Servers that should know each object, by region.
+        self.copies: dict[str, int] = {}
         self.overflow = OVERFLOW_BURST
 
 
@@ -179,6 +182,8 @@
         if not groups:
             return NoRoom("no backend server is usable", self._pause_s(demand), 0)
         state = self._state(demand.service)
+        if demand.key is not None and not demand.excluded:
+            state.sample.note(now, demand.key)
         region = self._region(now, demand, groups, state)
         choice = self._pick_in(now, demand, region, groups[region], state)
         if isinstance(choice, Placement):
@@ -222,8 +227,28 @@
             }
             if sum(rates.values()) < 1.0:
                 rates = _prior(self._options.regions, slots, state.times.mean_s)
-            target = target_shares(self._options.region, rates, slots, state.times.mean_s)
-            state.shares.move(now, target)
+            rows = {
+                region: target_shares(region, rates, slots, state.times.mean_s)
+                for region in {*rates, self._options.region}
+            }
+            state.shares.move(now, rows[self._options.region])
+            state.copies = self._copies(service, rows.values(), state)
+
+    def _copies(
+        self, service: str, rows: Iterable[Mapping[str, float]], state: _ServiceState
+    ) -> dict[str, int]:
+        """Return how many servers of each region should know each object.
+
+        The callers of each region ask for objects of their own, about as many in each.
+
+        :param rows: parts of each region's requests by the region that runs them.
+        """
+        objects = state.sample.estimate()
+        parts = [dict(row) for row in rows]
+        return {
+            region: copies_of(len(servers), objects * sum(row.get(region, 0.0) for row in parts))
+            for region, servers in self.usable(service).items()
+        }
 
     def keep_only(self, server_ids: frozenset[str]) -> None:
         """Forget servers that are not named."""
@@ -310,7 +335,7 @@
             order, copies = tuple(by_id), len(by_id)
         else:
             order = self._order.of(demand.key, tuple(by_id))
-            copies = COPIES
+            copies = state.copies.get(region, 1)
         best: Placement | None = None
         best_cost = 0.0
         soonest_s = demand.time_left_s
--- a/src/hibiscushaven/placement/tests/test_picker.py
+++ b/src/hibiscushaven/placement/tests/test_picker.py
@@ -39,6 +39,8 @@
         self.picker.set_operator(
             OperatorState(1, Configuration(1, (ROUTE,), services), frozenset(evacuated))
         )
+        for number in range(60):
+            self.pick(key=str(number % 10))
         self.picker.move_shares(0.0, {})
 
     def pick(self, now=0.0, key="17", route=ROUTE, **fields):
