Never pass on a promise that the backend server did not give

A 503, 429, 408 or 421 of a backend server without its mark that it has not run the request was passed on as it was; the property test of the forwarder with these statuses failed before.

--- a/src/hibiscushaven/forwarding/forwarder.py
+++ b/src/hibiscushaven/forwarding/forwarder.py
@@ -45,6 +45,9 @@
 # Attempts to connect for one request; each failed one takes time off the request.
 MAX_CONNECTS = 3
 
+# Statuses by which a caller is told that its request has not run and will not.
+PROMISES = frozenset({408, 421, 429, 503})
+
 # Pause of a backend server whose address belongs to another one; its record goes within
 # seconds.
 MISDIRECTED_PAUSE_S = 5.0
@@ -284,7 +287,7 @@
         finally:
             load.started.pop(number, None)
             self._on_change()
-        return self._on_answer(course, placement, head, waited_s, body, rest)
+        return await self._on_answer(course, placement, head, waited_s, body, rest)
 
     def _attempt_request(self, course: _Course, server: KnownServer) -> AttemptRequest:
         request = course.request
@@ -340,7 +343,7 @@
             return failure(504, "no answer within the time limit")
         return None if course.route.kind.is_idempotent else failure(502, str(error))
 
-    def _on_answer(
+    async def _on_answer(
         self,
         course: _Course,
         placement: Placement,
@@ -355,6 +358,13 @@
         is_failure = head.status >= 500
         relative = self._measure(now, course, placement, waited_s) if not is_failure else None
         load.on_answer(now, relative, is_failure, self._load_reader.load_of(head))
+        if head.status in PROMISES:
+            # Callers take these for a promise that the request has not run, which the backend
+            # server did not give.
+            course.last = f"backend server answered {head.status} and may have run it"
+            if rest is not None:
+                await head.close()
+            return None if course.route.kind.is_idempotent else failure(502, course.last)
         answer = Answer(head.status, head.headers, body, rest, head.content_length)
         if not is_failure:
             self._crashes.absolve(course.fingerprint)
--- a/src/hibiscushaven/forwarding/tests/test_forwarder.py
+++ b/src/hibiscushaven/forwarding/tests/test_forwarder.py
@@ -108,7 +108,7 @@
 
 
 stops = st.sampled_from([stop for stop in Stop if stop is not Stop.INVALID])
-steps = st.lists(stops | st.sampled_from([200, 404, 500, 504]), min_size=8, max_size=8)
+steps = st.lists(stops | st.sampled_from([200, 404, 408, 429, 500, 503, 504]), min_size=8, max_size=8)
 
 
 @given(steps, st.sampled_from(RequestKind), st.integers(1, 4))
