--- a/src/hibiscushaven/fleet/view.py
+++ b/src/hibiscushaven/fleet/view.py
@@ -50,6 +50,11 @@
         self._in_progress: dict[int, int] = {}
         self._slowness: dict[int, tuple[float, float]] = {}
 
+    @property
+    def near_count(self) -> int:
+        """Number of other VMs of the own region, up or silent."""
+        return sum(peer.state.region == self.region for peer in self._peers.values())
+
     def on_state(self, now: float, state: VmState) -> bool:
         """Take a state; return whether its VM was not known to be up."""
         if state.name == self.name:
--- a/src/hibiscushaven/forwarding/forwarder.py
+++ b/src/hibiscushaven/forwarding/forwarder.py
@@ -96,6 +96,7 @@
     may_have_run: bool = False
     last: str = ""
     placement: Placement | None = None
+    no_room: NoRoom | None = None
     answer: Answer | None = None
 
     @property
@@ -220,7 +221,8 @@
                 return self._give_up(course, 504)
             choice = self._picker.pick(now, self._demand(now, course))
             if isinstance(choice, NoRoom):
-                course.last = course.last or choice.reason
+                course.no_room = choice
+                course.last = f"{course.last}; {choice.reason}" if course.last else choice.reason
                 return self._give_up(course, 502, choice.retry_after_s)
             if course.sent and not self._may_repeat(now, course):
                 course.last += "; budget of repeats used up"
@@ -241,7 +243,8 @@
             course.route.objective_s - elapsed,
             course.deadline - now,
             frozenset(course.tried),
-            course.is_return,
+            # A request that is sent again has lost time like that of a returning caller.
+            course.is_return or course.sent > 0,
         )
 
     def _may_repeat(self, now: float, course: _Course) -> bool:
@@ -413,18 +416,31 @@
                 "why": course.last,
                 "object": request.object_key,
             }
-            if course.placement is not None:
-                placed = course.placement
-                extra |= {
-                    "server": placed.server.record.server_id,
-                    "region": placed.region,
-                    "busy": placed.busy,
-                    "predicted_s": round(placed.predicted_s, 3),
-                    "known_object": placed.is_known_object,
-                }
+            extra |= _inputs(course)
         _LOG.info("request ended", extra=extra)
 
 
+def _inputs(course: _Course) -> dict[str, object]:
+    """Return what the last choice of a backend server was made from, for the log."""
+    inputs: dict[str, object] = {}
+    placed, no_room = course.placement, course.no_room
+    if placed is not None:
+        inputs |= {
+            "server": placed.server.record.server_id,
+            "region": placed.region,
+            "busy": placed.busy,
+            "slots": placed.server.record.slots,
+            "predicted_s": round(placed.predicted_s, 3),
+            "known_object": placed.is_known_object,
+        }
+    if no_room is not None:
+        inputs |= {
+            "candidates": no_room.candidates,
+            "retry_after_s": round(no_room.retry_after_s, 3),
+        }
+    return inputs
+
+
 async def _read(head: AttemptHead) -> tuple[bytes, AsyncIterator[bytes] | None]:
     """Return a body that is complete, or its beginning and the rest."""
     parts: list[bytes] = []
--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -29,8 +29,10 @@
 _LOG = logging.getLogger(__name__)
 
 # Changes of the requests in progress are told to the VMs of the region after this time, so
-# that several of them share a datagram; a short request takes about four times as long.
+# that several of them share a datagram; a short request takes about four times as long. In
+# large regions the time grows with the VMs, so that a VM sends 400 datagrams a second at most.
 STATE_DELAY_S = 0.02
+STATE_DELAY_PER_VM_S = 0.0025
 
 # Longest time between two states to the VMs of the region.
 STATE_INTERVAL_S = 0.2
@@ -163,7 +165,8 @@
         if self._is_sending_soon:
             return
         self._is_sending_soon = True
-        asyncio.get_running_loop().call_later(STATE_DELAY_S, self._send_state)
+        delay_s = max(STATE_DELAY_S, STATE_DELAY_PER_VM_S * self.view.near_count)
+        asyncio.get_running_loop().call_later(delay_s, self._send_state)
 
     # Joining ----------------------------------------------------------------------------
 
--- a/src/hibiscushaven/placement/picker.py
+++ b/src/hibiscushaven/placement/picker.py
@@ -17,10 +17,10 @@
 # Requests that may wait at a backend server, as a multiple of its slots.
 QUEUE_PART = 2.0
 
-# The same for requests of callers that come back after a refusal, and the part of their time
-# that they may be predicted to take.
+# The same for requests of callers that come back after a refusal, and their predicted time as a
+# multiple of the objective. A longer queue of them would make all others late.
 RETURN_QUEUE_PART = 2.5
-RETURN_TIME_PART = 0.5
+RETURN_OBJECTIVE_PART = 1.25
 
 # Part of a region's slots in use up to which a request may go to a server that does not know
 # its object. It takes a slot for about three times as long there, and makes the server forget
@@ -407,16 +407,14 @@
 def _has_room(busy: int, slots: int, predicted_s: float, demand: Demand) -> bool:
     """Return whether a request should go to a server with so many in progress.
 
-    A caller that was refused before goes first: it may wait longer than others, up to half of
-    its time, since it would not come back again.
+    A caller that was refused before goes first: it may wait where others are refused, since it
+    would not come back again.
     """
     if busy < slots:
         return predicted_s <= demand.time_left_s
     if demand.is_return:
-        return (
-            busy < slots * (1.0 + RETURN_QUEUE_PART)
-            and predicted_s <= RETURN_TIME_PART * demand.time_left_s
-        )
+        longest_s = min(RETURN_OBJECTIVE_PART * demand.route.objective_s, demand.time_left_s)
+        return busy < slots * (1.0 + RETURN_QUEUE_PART) and predicted_s <= longest_s
     return busy < slots * (1.0 + QUEUE_PART) and predicted_s <= demand.objective_left_s
 
 
