--- a/src/hibiscushaven/commands/gateway.py
+++ b/src/hibiscushaven/commands/gateway.py
@@ -4,6 +4,8 @@
 
 import click
 
+from hibiscushaven.platform import SETTINGS_VARIABLE
+
 from .output import EXIT_USAGE, fail_with_problems, listen_errors
 
 __all__ = ["gateway"]
@@ -14,7 +16,7 @@
     "--settings",
     "path",
     required=True,
-    envvar="HIBISCUSHAVEN_CONFIG",
+    envvar=SETTINGS_VARIABLE,
     type=click.Path(dir_okay=False),
     help="Settings of the VM.",
 )
@@ -27,6 +29,7 @@
 
     Exit code 2 means that the settings are wrong, 1 that an address cannot be used.
     """
+    # Imported here, so that listing the commands stays fast.
     from hibiscushaven.gateway.settings import load_gateway_settings
 
     result = load_gateway_settings(path)
@@ -35,7 +38,7 @@
     if check:
         click.echo(f"{path}: ok")
         return
-    from hibiscushaven.platform import run_gateway
+    from hibiscushaven.platform.program import run_gateway
 
     with listen_errors():
         asyncio.run(run_gateway(result.ok, path))
--- a/src/hibiscushaven/forwarding/forwarder.py
+++ b/src/hibiscushaven/forwarding/forwarder.py
@@ -1,14 +1,11 @@
 """From a caller's request to its answer: attempts, repeats and refusals."""
 
 import asyncio
-import logging
 from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from itertools import count
 from typing import Protocol
 
-import xxhash
-
 from hibiscushaven.delivery import (
     AttemptError,
     AttemptHead,
@@ -29,15 +26,15 @@
 )
 from hibiscushaven.process import Clock
 from hibiscushaven.quarantine import CrashLedger, CrashSuspects
-from hibiscushaven.routing import Configuration, Route, RouteTable, SplitChooser
+from hibiscushaven.routing import Configuration, RouteTable, SplitChooser
 
+from .course import Course
 from .messages import Answer, CallerRequest, failure, refusal
+from .reporter import Reporter
 from .returns import ReturnDetector
 
 __all__ = ["BudgetOptions", "Forwarder", "LoadReader"]
 
-_LOG = logging.getLogger(__name__)
-
 # Bodies up to this size are read whole before the answer starts, so that a truncated one can
 # be asked for again; larger ones are passed on as they arrive.
 WHOLE_BODY_BYTES = 1024 * 1024
@@ -80,34 +77,6 @@
     fixed: float = 10.0
 
 
-@dataclass(slots=True)
-class _Course:
-    """What has happened to one request so far."""
-
-    request: CallerRequest
-    route: Route
-    service: str
-    deadline: float
-    is_return: bool
-    tried: set[str] = field(default_factory=set)
-    sent: int = 0
-    sent_at: float = 0.0
-    connects: int = 0
-    may_have_run: bool = False
-    last: str = ""
-    placement: Placement | None = None
-    no_room: NoRoom | None = None
-    answer: Answer | None = None
-
-    @property
-    def fingerprint(self) -> str:
-        request = self.request
-        digest = xxhash.xxh64(request.target.encode())
-        digest.update(f"\n{request.host}\n{request.object_key}\n".encode())
-        digest.update(request.body)
-        return digest.hexdigest()
-
-
 class Forwarder:
     """Forwards requests to backend servers.
 
@@ -141,7 +110,7 @@
         self._client = client
         self._load_reader = load_reader
         self._budget = budget
-        self._metrics = metrics
+        self._reporter = Reporter(metrics, clock)
         self._vm_count = vm_count
         self._now = clock.now
         self._on_change = on_change
@@ -177,7 +146,7 @@
     async def handle(self, request: CallerRequest) -> Answer:
         """Return the answer to a request; cancel it when the caller leaves."""
         self.in_progress += 1
-        course: _Course | None = None
+        course: Course | None = None
         answer: Answer | None = None
         try:
             course = self._begin(request)
@@ -188,9 +157,9 @@
             return answer
         finally:
             self.in_progress -= 1
-            self._report(request, course, answer)
+            self._reporter.ended(request, course, answer, self._version)
 
-    def _begin(self, request: CallerRequest) -> "_Course | Answer":
+    def _begin(self, request: CallerRequest) -> Course | Answer:
         """Return the course of a request, or the answer to one that cannot be forwarded."""
         configuration = self._picker.configuration
         if self._table is None or configuration is None:
@@ -208,9 +177,9 @@
         self._arrivals[service] = self._arrivals.get(service, 0) + 1
         self._budget_of(service).count_request(request.received_at)
         deadline = request.received_at + limit_s
-        return _Course(request, route, service, deadline, is_return)
+        return Course(request, route, service, deadline, is_return)
 
-    async def _run(self, course: _Course) -> Answer:
+    async def _run(self, course: Course) -> Answer:
         if self._crashes.is_quarantined(self._now(), course.fingerprint):
             course.last = "crashed two backend servers"
             return refusal("this request crashes backend servers", None)
@@ -234,7 +203,7 @@
             if answer is not None:
                 return answer
 
-    def _demand(self, now: float, course: _Course) -> Demand:
+    def _demand(self, now: float, course: Course) -> Demand:
         elapsed = now - course.request.received_at
         return Demand(
             course.route,
@@ -247,7 +216,7 @@
             course.is_return or course.sent > 0,
         )
 
-    def _may_repeat(self, now: float, course: _Course) -> bool:
+    def _may_repeat(self, now: float, course: Course) -> bool:
         if course.sent >= course.route.max_attempts:
             return False
         return self._budget_of(course.service).try_spend(now, self._vm_count())
@@ -260,7 +229,7 @@
             self._budgets[service] = budget
         return budget
 
-    def _give_up(self, course: _Course, status: int, retry_after_s: float = 0.2) -> Answer:
+    def _give_up(self, course: Course, status: int, retry_after_s: float = 0.2) -> Answer:
         """Return the final answer of a request that got none from a backend server."""
         if course.answer is not None:
             return course.answer
@@ -268,7 +237,7 @@
             return failure(status, course.last)
         return refusal(course.last, retry_after_s)
 
-    async def _attempt(self, course: _Course, placement: Placement) -> Answer | None:
+    async def _attempt(self, course: Course, placement: Placement) -> Answer | None:
         """Send a request once; return its answer, or ``None`` to go on."""
         server = placement.server
         server_id = server.record.server_id
@@ -292,7 +261,7 @@
             self._on_change()
         return await self._on_answer(course, placement, head, waited_s, body, rest)
 
-    def _attempt_request(self, course: _Course, server: KnownServer) -> AttemptRequest:
+    def _attempt_request(self, course: Course, server: KnownServer) -> AttemptRequest:
         request = course.request
         left_s = course.deadline - self._now()
         loop_now = asyncio.get_running_loop().time()
@@ -308,7 +277,7 @@
             server_id=server.record.server_id,
         )
 
-    def _on_error(self, course: _Course, server: KnownServer, error: AttemptError) -> Answer | None:
+    def _on_error(self, course: Course, server: KnownServer, error: AttemptError) -> Answer | None:
         now = self._now()
         server_id = server.record.server_id
         load = self._loads.of(server_id)
@@ -324,17 +293,7 @@
             load.on_answer(now, None, is_failure=True, report=None)
         elif stop is Stop.MISDIRECTED:
             load.avoid_until = now + MISDIRECTED_PAUSE_S
-        _LOG.info(
-            "attempt failed",
-            extra={
-                "request_id": course.request.request_id,
-                "server": server_id,
-                "stop": stop.value,
-                "why": str(error),
-                "left_s": round(course.deadline - now, 3),
-            },
-        )
-        self._metrics.counter("attempts_failed_total", course.service, stop.value).add()
+        self._reporter.attempt_failed(course, server_id, error)
         if stop.is_before_sending:
             course.connects += 1
             return None if course.connects < MAX_CONNECTS else self._give_up(course, 502)
@@ -348,7 +307,7 @@
 
     async def _on_answer(
         self,
-        course: _Course,
+        course: Course,
         placement: Placement,
         head: AttemptHead,
         waited_s: float,
@@ -379,7 +338,7 @@
         return answer
 
     def _measure(
-        self, now: float, course: _Course, placement: Placement, waited_s: float
+        self, now: float, course: Course, placement: Placement, waited_s: float
     ) -> float | None:
         """Learn from a work time that no queue is part of; return it relative to the usual."""
         if placement.busy >= placement.server.record.slots:
@@ -390,56 +349,6 @@
             times.record(placement.is_known_object, waited_s)
         return relative
 
-    def _report(
-        self, request: CallerRequest, course: _Course | None, answer: Answer | None
-    ) -> None:
-        elapsed_s = self._now() - request.received_at
-        status = answer.status if answer is not None else 0
-        extra = {
-            "request_id": request.request_id,
-            "status": status,
-            "elapsed_s": round(elapsed_s, 4),
-            "configuration": self._version,
-        }
-        if course is not None:
-            label = course.route.kind.value
-            self._metrics.histogram("request_seconds", course.service, label).record(elapsed_s)
-            self._metrics.counter(
-                "requests_total", course.service, f"{label}-{status or 'left'}"
-            ).add()
-            extra |= {
-                "route": course.route.name,
-                "service": course.service,
-                "sent": course.sent,
-                "is_return": course.is_return,
-                "limit_s": round(course.deadline - request.received_at, 3),
-                "why": course.last,
-                "object": request.object_key,
-            }
-            extra |= _inputs(course)
-        _LOG.info("request ended", extra=extra)
-
-
-def _inputs(course: _Course) -> dict[str, object]:
-    """Return what the last choice of a backend server was made from, for the log."""
-    inputs: dict[str, object] = {}
-    placed, no_room = course.placement, course.no_room
-    if placed is not None:
-        inputs |= {
-            "server": placed.server.record.server_id,
-            "region": placed.region,
-            "busy": placed.busy,
-            "slots": placed.server.record.slots,
-            "predicted_s": round(placed.predicted_s, 3),
-            "known_object": placed.is_known_object,
-        }
-    if no_room is not None:
-        inputs |= {
-            "candidates": no_room.candidates,
-            "retry_after_s": round(no_room.retry_after_s, 3),
-        }
-    return inputs
-
 
 async def _read(head: AttemptHead) -> tuple[bytes, AsyncIterator[bytes] | None]:
     """Return a body that is complete, or its beginning and the rest."""
