--- a/src/hibiscushaven/forwarding/tests/support.py
+++ b/src/hibiscushaven/forwarding/tests/support.py
@@ -9,6 +9,7 @@
 from hibiscushaven.ini.fields import Endpoint
 from hibiscushaven.metrics import Metrics
 from hibiscushaven.placement import Picker, PickerOptions, ServerLoads
+from hibiscushaven.process.tests.support import VirtualClock
 from hibiscushaven.routing import (
     Configuration,
     OperatorState,
@@ -19,17 +20,6 @@
 )
 
 
-class VirtualClock:
-    def __init__(self):
-        self.time = 100.0
-
-    def now(self):
-        return self.time
-
-    def unix(self):
-        return self.time
-
-
 class Head:
     """Head of an answer whose body is at hand."""
 
--- a/src/hibiscushaven/forwarding/tests/test_app.py
+++ b/src/hibiscushaven/forwarding/tests/test_app.py
@@ -6,8 +6,7 @@
 
 from hibiscushaven.forwarding import Answer, CallerApp, CallerRequest
 from hibiscushaven.forwarding import app as app_module
-
-from .support import VirtualClock
+from hibiscushaven.process.tests.support import VirtualClock
 
 
 class Dialect:
--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 
 from hibiscushaven.discovery import KnownServer, Registry
-from hibiscushaven.feeds import ReadingTurn
 from hibiscushaven.fleet import (
     FleetLink,
     FleetView,
@@ -22,7 +21,8 @@
 from hibiscushaven.routing import OperatorState
 
 from .options import GatewayOptions
-from .ports import PlatformStore, StoreError, VmAddress
+from .ports import PlatformStore, ServerListing, StoreError, VmAddress
+from .reader import StoreReader
 
 __all__ = ["GatewayNode"]
 
@@ -43,11 +43,6 @@
 # Time between two digests for the other regions.
 DIGEST_INTERVAL_S = 0.2
 
-# Longest wait for the operator's state to change in one read, and the age after which another
-# VM reads it in place of the reader.
-OPERATOR_WAIT_S = 1.5
-OPERATOR_MAX_AGE_S = 2.0
-
 # Time for a peer of the region to deliver news; it is a millisecond away.
 PULL_TIMEOUT_S = 0.4
 
@@ -92,10 +87,10 @@
             self.loads,
         )
         self._link = FleetLink(clock.now, self._on_message, self._give_news)
-        self._turn = ReadingTurn()
+        self._reader = StoreReader(
+            store, clock, self._rank, self._on_listing, self._adopt_operator, self._send_state
+        )
         self._operator = OperatorState()
-        self._operator_confirmed_at = -1e6
-        self._servers_confirmed_at = -1e6
         self._incarnation = random.getrandbits(31)
         self._sequence = 0
         self._is_leaving = False
@@ -105,7 +100,6 @@
         self._arrivals: dict[str, float] = {}
         self._arrivals_at = 0.0
         self._pulling: asyncio.Task[None] | None = None
-        self._must_read = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -125,7 +119,7 @@
     @property
     def servers_age_s(self) -> float:
         """Time since the backend servers were last confirmed by a read, in seconds."""
-        return self._clock.now() - self._servers_confirmed_at
+        return self._clock.now() - self._reader.servers_confirmed_at
 
     def vm_count(self) -> int:
         """Return the number of VMs, up or silent, this one included."""
@@ -137,8 +131,8 @@
         :raises OSError: when the address for peers cannot be used.
         """
         await self._link.start(self._options.peers_at)
-        loops = (self._join(), self._read_servers(), self._read_operator(), self._tick())
-        self._tasks = [asyncio.create_task(loop) for loop in loops]
+        self._reader.start()
+        self._tasks = [asyncio.create_task(loop) for loop in (self._join(), self._tick())]
 
     def leave(self) -> None:
         """Tell the others at once that this VM takes no new callers."""
@@ -151,6 +145,7 @@
         for task in (*self._tasks, *pulling):
             task.cancel()
         await asyncio.gather(*self._tasks, *pulling, return_exceptions=True)
+        await self._reader.close()
         self._link.close()
 
     async def deregister(self) -> None:
@@ -168,8 +163,6 @@
         delay_s = max(STATE_DELAY_S, STATE_DELAY_PER_VM_S * self.view.near_count)
         asyncio.get_running_loop().call_later(delay_s, self._send_state)
 
-    # Joining ----------------------------------------------------------------------------
-
     async def _join(self) -> None:
         """Tell the other VMs about this one, and learn of them."""
         own = VmAddress(self._options.name, str(self._options.peers_at))
@@ -190,8 +183,6 @@
                 self._link.send(state, other.peers_at)
         _LOG.info("joined", extra={"others": len(others) - 1})
 
-    # Messages ---------------------------------------------------------------------------
-
     def _on_message(self, message: VmState | RegionDigest) -> None:
         now = self._clock.now()
         if isinstance(message, RegionDigest):
@@ -209,11 +200,9 @@
     def _compare(self, now: float, state: VmState) -> None:
         """Confirm what is known here by a peer's state, or ask the peer for what is newer."""
         if state.operator_version == self._operator.version:
-            confirmed = now - state.operator_age_s
-            self._operator_confirmed_at = max(self._operator_confirmed_at, confirmed)
+            self._reader.confirm_operator(now - state.operator_age_s)
         if state.servers_version == self.registry.version:
-            confirmed = now - state.servers_age_s
-            self._servers_confirmed_at = max(self._servers_confirmed_at, confirmed)
+            self._reader.confirm_servers(now - state.servers_age_s)
         is_newer = (
             state.operator_version > self._operator.version
             or state.servers_version > self.registry.version
@@ -228,7 +217,7 @@
             )
         except (OSError, MessageError, TimeoutError) as error:
             _LOG.warning("no news from VM", extra={"vm": state.name, "why": repr(error)})
-            self._must_read.set()
+            self._reader.read_now()
             return
         now = self._clock.now()
         if news.operator is not None:
@@ -263,8 +252,6 @@
             until = lost_at + LOSS_NEWS_S + options.warmup_s
             self.registry.mark_server_cold(server_id, until)
 
-    # Sending ----------------------------------------------------------------------------
-
     def _state(self) -> VmState:
         now = self._clock.now()
         self._sequence += 1
@@ -278,11 +265,11 @@
             peers_at=str(self._options.peers_at),
             is_ready=self.is_ready,
             is_leaving=self._is_leaving,
-            can_read=not self._turn.is_failing,
+            can_read=self._reader.can_read,
             operator_version=self._operator.version,
-            operator_age_s=now - self._operator_confirmed_at,
+            operator_age_s=now - self._reader.operator_confirmed_at,
             servers_version=self.registry.version,
-            servers_age_s=now - self._servers_confirmed_at,
+            servers_age_s=now - self._reader.servers_confirmed_at,
             in_progress=self._own_in_progress(),
             lost={token_of(name): age for name, age in self.loads.lost(now, LOSS_NEWS_S).items()},
             arrivals={token_of(name): rate for name, rate in self._arrivals.items()},
@@ -355,71 +342,13 @@
             known = self._arrivals.get(service, 0.0)
             self._arrivals[service] = known + ARRIVALS_SMOOTHING * (rate - known)
 
-    # Reading ----------------------------------------------------------------------------
-
-    async def _read_servers(self) -> None:
-        while True:
-            now = self._clock.now()
-            rank = self.view.rank(now, can_read=not self._turn.is_failing)
-            wait_s = self._turn.wait_s(now, rank, self._servers_confirmed_at)
-            if wait_s > 0:
-                await self._sleep(min(wait_s, DIGEST_INTERVAL_S))
-                continue
-            try:
-                listing = await self._store.read_servers()
-            except StoreError as error:
-                self._on_read_error("servers", error)
-                continue
-            self._on_read_success()
-            now = self._clock.now()
-            gap_s = now - self._servers_confirmed_at
-            self._servers_confirmed_at = now
-            if self.registry.replace_all(now, listing.version, listing.records, gap_s):
-                self._on_servers("store")
-
-    async def _read_operator(self) -> None:
-        while True:
-            now = self._clock.now()
-            age_s = now - self._operator_confirmed_at
-            rank = self.view.rank(now, can_read=not self._turn.is_failing)
-            is_reader = rank == 0 and not self._turn.is_failing
-            if not is_reader and age_s < OPERATOR_MAX_AGE_S + 0.3 * rank:
-                await asyncio.sleep(DIGEST_INTERVAL_S)
-                continue
-            is_stale = age_s > OPERATOR_MAX_AGE_S
-            try:
-                operator = await self._store.read_operator(0.0 if is_stale else OPERATOR_WAIT_S)
-            except StoreError as error:
-                self._on_read_error("operator", error)
-                await asyncio.sleep(DIGEST_INTERVAL_S * random.uniform(1.0, 3.0))
-                continue
-            self._operator_confirmed_at = self._clock.now()
-            self._adopt_operator(operator, "store")
-
-    async def _sleep(self, seconds: float) -> None:
-        """Wait, or until a read is due because a peer could not deliver its news."""
-        try:
-            async with asyncio.timeout(seconds):
-                await self._must_read.wait()
-        except TimeoutError:
-            return
-        self._must_read.clear()
-        self._servers_confirmed_at = min(self._servers_confirmed_at, self._clock.now() - 1.0)
-        self._operator_confirmed_at = min(self._operator_confirmed_at, self._clock.now() - 3.0)
+    def _rank(self, can_read: bool) -> int:
+        return self.view.rank(self._clock.now(), can_read)
 
-    def _on_read_error(self, what: str, error: StoreError) -> None:
+    def _on_listing(self, listing: ServerListing, gap_s: float) -> None:
         now = self._clock.now()
-        if not self._turn.is_failing:
-            _LOG.warning("store lost", extra={"table": what, "why": str(error)})
-            self._turn.failed(now)
-            self._send_state()
-        elif what == "servers":
-            self._turn.failed(now)
-
-    def _on_read_success(self) -> None:
-        if self._turn.is_failing:
-            _LOG.info("store regained", extra={"failures": self._turn.failures})
-        self._turn.succeeded()
+        if self.registry.replace_all(now, listing.version, listing.records, gap_s):
+            self._on_servers("store")
 
     def _adopt_operator(self, operator: OperatorState, source: str) -> None:
         known = self._operator
--- /dev/null
+++ b/src/hibiscushaven/gateway/reader.py
@@ -0,0 +1,159 @@
+"""Reading of the platform's store by one VM, in turns with the others of its region."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+
+from hibiscushaven.feeds import ReadingTurn
+from hibiscushaven.process import Clock
+from hibiscushaven.routing import OperatorState
+
+from .ports import PlatformStore, ServerListing, StoreError
+
+__all__ = ["StoreReader"]
+
+_LOG = logging.getLogger(__name__)
+
+# Longest wait for the operator's state to change in one read, and the age after which another
+# VM reads it in place of the reader.
+OPERATOR_WAIT_S = 1.5
+OPERATOR_MAX_AGE_S = 2.0
+
+# Time between two looks at whose turn it is.
+CHECK_INTERVAL_S = 0.2
+
+# A VM that lacks news that no peer could deliver takes the operator's state to be this old.
+STALE_S = 3.0
+
+_NEVER = -1e6
+
+
+class StoreReader:
+    """Reads the store when it is this VM's turn, or when no other VM does.
+
+    :param rank: returns how many VMs of the region come before this one, given whether this
+        one can read.
+    :param on_listing: takes the backend servers and the time since the read before.
+    :param on_operator: takes the operator's state and where it comes from.
+    :param on_loss: called when the store stops answering, so that the others take over.
+    """
+
+    def __init__(
+        self,
+        store: PlatformStore,
+        clock: Clock,
+        rank: Callable[[bool], int],
+        on_listing: Callable[[ServerListing, float], None],
+        on_operator: Callable[[OperatorState, str], None],
+        on_loss: Callable[[], None],
+    ) -> None:
+        self._store = store
+        self._now = clock.now
+        self._rank = rank
+        self._on_listing = on_listing
+        self._on_operator = on_operator
+        self._on_loss = on_loss
+        self._turn = ReadingTurn()
+        self._operator_confirmed_at = _NEVER
+        self._servers_confirmed_at = _NEVER
+        self._must_read = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def can_read(self) -> bool:
+        """Whether the last call of the store succeeded."""
+        return not self._turn.is_failing
+
+    @property
+    def operator_confirmed_at(self) -> float:
+        """Time as of which the operator's state was last read by some VM."""
+        return self._operator_confirmed_at
+
+    @property
+    def servers_confirmed_at(self) -> float:
+        """Time as of which the backend servers were last read by some VM."""
+        return self._servers_confirmed_at
+
+    def start(self) -> None:
+        """Start to read."""
+        loops = (self._read_servers(), self._read_operator())
+        self._tasks = [asyncio.create_task(loop) for loop in loops]
+
+    async def close(self) -> None:
+        """Stop reading."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def confirm_operator(self, at: float) -> None:
+        """Note that another VM holds the same operator's state, read at a time."""
+        self._operator_confirmed_at = max(self._operator_confirmed_at, at)
+
+    def confirm_servers(self, at: float) -> None:
+        """Note that another VM knows the same backend servers, read at a time."""
+        self._servers_confirmed_at = max(self._servers_confirmed_at, at)
+
+    def read_now(self) -> None:
+        """Read soon, since a peer has news that it could not deliver."""
+        self._must_read.set()
+        self._operator_confirmed_at = min(self._operator_confirmed_at, self._now() - STALE_S)
+
+    async def _read_servers(self) -> None:
+        while True:
+            wait_s = self._turn.wait_s(
+                self._now(), self._rank(self.can_read), self._servers_confirmed_at
+            )
+            if wait_s > 0 and not await self._is_called(min(wait_s, CHECK_INTERVAL_S)):
+                continue
+            try:
+                listing = await self._store.read_servers()
+            except StoreError as error:
+                self._on_error("servers", error)
+                continue
+            self._on_success()
+            now = self._now()
+            gap_s = now - self._servers_confirmed_at
+            self._servers_confirmed_at = now
+            self._on_listing(listing, gap_s)
+
+    async def _read_operator(self) -> None:
+        while True:
+            age_s = self._now() - self._operator_confirmed_at
+            rank = self._rank(self.can_read)
+            is_reader = rank == 0 and self.can_read
+            if not is_reader and age_s < OPERATOR_MAX_AGE_S + 0.3 * rank:
+                await asyncio.sleep(CHECK_INTERVAL_S)
+                continue
+            is_stale = age_s > OPERATOR_MAX_AGE_S
+            try:
+                operator = await self._store.read_operator(0.0 if is_stale else OPERATOR_WAIT_S)
+            except StoreError as error:
+                self._on_error("operator", error)
+                await asyncio.sleep(CHECK_INTERVAL_S * random.uniform(1.0, 3.0))
+                continue
+            self._operator_confirmed_at = self._now()
+            self._on_operator(operator, "store")
+
+    async def _is_called(self, seconds: float) -> bool:
+        """Wait; return early and true if a peer could not deliver its news."""
+        try:
+            async with asyncio.timeout(seconds):
+                await self._must_read.wait()
+        except TimeoutError:
+            return False
+        self._must_read.clear()
+        return True
+
+    def _on_error(self, what: str, error: StoreError) -> None:
+        if self.can_read:
+            _LOG.warning("store lost", extra={"table": what, "why": str(error)})
+            self._turn.failed(self._now())
+            self._on_loss()
+        elif what == "servers":
+            self._turn.failed(self._now())
+
+    def _on_success(self) -> None:
+        if not self.can_read:
+            _LOG.info("store regained", extra={"failures": self._turn.failures})
+        self._turn.succeeded()
--- a/src/hibiscushaven/gateway/tests/support.py
+++ b/src/hibiscushaven/gateway/tests/support.py
@@ -5,22 +5,12 @@
 from hibiscushaven.discovery import ServerRecord
 from hibiscushaven.gateway import GatewayNode, GatewayOptions, ServerListing, StoreError
 from hibiscushaven.ini.fields import Endpoint
+from hibiscushaven.process.tests.support import VirtualClock
 from hibiscushaven.routing import Configuration, OperatorState, ServiceOptions
 
 REGIONS = {"serra-a": "serra", "vale-a": "vale"}
 
 
-class VirtualClock:
-    def __init__(self):
-        self.time = 100.0
-
-    def now(self):
-        return self.time
-
-    def unix(self):
-        return self.time
-
-
 class FakeStore:
     """Store whose content a test sets.
 
--- a/src/hibiscushaven/gateway/tests/test_node.py
+++ b/src/hibiscushaven/gateway/tests/test_node.py
@@ -6,8 +6,9 @@
 from hypothesis import strategies as st
 
 from hibiscushaven.fleet import VmState, token_of
+from hibiscushaven.process.tests.support import VirtualClock
 
-from .support import VirtualClock, make_node, make_operator, make_record
+from .support import make_node, make_operator, make_record
 
 
 def in_loop(scenario):
