--- /dev/null
+++ b/src/hibiscushaven/platform/tests/test_gateway.py
@@ -0,0 +1,186 @@
+"""The whole gateway on loopback between a caller, the store's stand-in and a backend server."""
+
+import asyncio
+import socket
+
+import aiohttp
+import pytest
+
+from hibiscushaven.gateway import GatewayDaemon, GatewayOptions
+from hibiscushaven.gateway import daemon as daemon_module
+from hibiscushaven.ini.fields import Endpoint
+from hibiscushaven.platform.dialects import PlatformBackends, PlatformCallers, PlatformDirectory
+from hibiscushaven.platform.store import StoreClient
+from hibiscushaven.process import SystemClock
+
+from .backend_standin import BackendStandIn, answer, header
+from .samples import configuration_row, server_row
+from .store_standin import StoreStandIn
+
+TIME_LIMIT_S = 60
+
+
+def free_endpoint():
+    with socket.create_server(("127.0.0.1", 0)) as made:
+        return Endpoint(*made.getsockname())
+
+
+class Deployment:
+    """One gateway with its surroundings."""
+
+    def __init__(self, *scripts):
+        self.store = StoreStandIn()
+        self.backend = BackendStandIn(*scripts)
+        self.options = None
+        self.daemon = None
+        self.session = None
+
+    async def __aenter__(self):
+        store_port = await self.store.start()
+        backend_port = await self.backend.start()
+        address = f"127.0.0.1:{backend_port}"
+        self.store.put("op", "config", configuration_row(7))
+        self.store.put("servers", "i-1", server_row(address=address))
+        self.options = GatewayOptions(
+            "vm-1",
+            "serra",
+            "serra-a",
+            {"serra-a": "serra"},
+            *(free_endpoint() for _ in range(5)),
+            metrics_at=free_endpoint(),
+        )
+        backends = PlatformBackends()
+        self.daemon = GatewayDaemon(
+            self.options,
+            StoreClient(Endpoint("127.0.0.1", store_port)),
+            PlatformCallers(),
+            backends,
+            backends,
+            PlatformDirectory(),
+            SystemClock(),
+        )
+        await self.daemon.start()
+        self.session = aiohttp.ClientSession()
+        while not self.daemon.node.is_ready:
+            await asyncio.sleep(0)
+        return self
+
+    async def __aexit__(self, *error):
+        await self.session.close()
+        await self.backend.close()
+        await self.store.close()
+
+    async def get(self, at, path, **headers):
+        async with self.session.get(f"http://{at}{path}", headers=headers) as found:
+            return found.status, found.headers.copy(), await found.text()
+
+    async def request(self, path="/x/1", **headers):
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        fields = {"Host": "a.example", "Request-Id": "id-1", "Deadline-Ms": "2000", **named}
+        return await self.get(self.options.callers_at, path, **fields)
+
+
+@pytest.fixture(autouse=True)
+def no_quiet_time(monkeypatch):
+    monkeypatch.setattr(daemon_module, "QUIET_S", 0.0)
+
+
+def run(scenario, *scripts):
+    async def main():
+        async with asyncio.timeout(TIME_LIMIT_S), Deployment(*scripts) as deployment:
+            await scenario(deployment)
+
+    asyncio.run(main())
+
+
+def test_request_is_served():
+    async def scenario(deployment):
+        status, headers, body = await deployment.request(Cookie="Affinity-Key=17")
+        assert (status, body) == (200, "whole")
+        assert headers["Response-Seal"] == "1.2.3" and headers["Request-Id"] == "id-1"
+        head, _ = deployment.backend.requests[0]
+        assert header(head, "Host") == "a.example" and header(head, "Cookie") == "Affinity-Key=17"
+        assert header(head, "Expect-Instance") == "i-1"
+        assert 0 < int(header(head, "Deadline-Ms")) <= 800
+        await deployment.daemon.stop()
+
+    run(scenario, answer())
+
+
+def test_routes_that_do_not_exist_and_bodies_that_are_too_large():
+    async def scenario(deployment):
+        assert (await deployment.request("/y/1"))[0] == 404
+        url = f"http://{deployment.options.callers_at}/x/1"
+        fields = {"Host": "a.example"}
+        async with deployment.session.post(url, data=b"x" * 2000, headers=fields) as found:
+            assert found.status == 413
+        assert deployment.backend.requests == []
+        await deployment.daemon.stop()
+
+    run(scenario)
+
+
+def test_directory_readiness_metrics_and_status():
+    async def scenario(deployment):
+        options = deployment.options
+        query = "/v1/resolve?Name=a.example&Region=serra&Zone=serra-a"
+        status, _, body = await deployment.get(options.directory_at, query)
+        assert status == 200 and str(options.callers_at) in body and '"Ttl":"2000ms"' in body
+        assert (await deployment.get(options.readiness_at, "/v1/readiness"))[0] == 200
+        await deployment.request()
+        _, _, metrics = await deployment.get(options.metrics_at, "/metrics")
+        assert 'request_seconds_count{tenant="stock",class="safe"} 1' in metrics
+        _, _, status_text = await deployment.get(options.metrics_at, "/v1/status")
+        assert '"configuration":7' in status_text
+        await deployment.daemon.stop()
+
+    run(scenario, answer())
+
+
+def test_stop_finishes_the_request_in_progress_and_takes_no_new_callers():
+    async def scenario(deployment):
+        request = asyncio.create_task(deployment.request())
+        while not deployment.backend.requests:
+            await asyncio.sleep(0)
+        stop = asyncio.create_task(deployment.daemon.stop())
+        while not deployment.daemon.node.is_leaving:
+            await asyncio.sleep(0)
+        assert (await deployment.get(deployment.options.readiness_at, "/v1/readiness"))[0] == 503
+        may_answer.set()
+        status, headers, body = await request
+        assert (status, body, headers["Connection"]) == (200, "whole", "close")
+        await stop
+        assert ("vms", "vm-1") not in deployment.store.rows
+
+    may_answer = asyncio.Event()
+
+    async def script(head, writer):
+        await may_answer.wait()
+        await answer()(head, writer)
+
+    run(scenario, script)
+
+
+def test_new_configuration_is_in_force_without_a_restart():
+    async def scenario(deployment):
+        deployment.store.put("op", "config", configuration_row(8, []))
+        while deployment.daemon.node.operator.configuration.version < 8:
+            await asyncio.sleep(0)
+        assert (await deployment.request())[0] == 404
+        await deployment.daemon.stop()
+
+    run(scenario)
+
+
+def test_leaving_backend_server_gets_nothing_more():
+    async def scenario(deployment):
+        row = deployment.store.rows["servers", "i-1"]
+        deployment.store.put("servers", "i-1", row[0].replace(b'"ready"', b'"draining"'))
+        while deployment.daemon.node.picker.usable("stock"):
+            await asyncio.sleep(0)
+        status, headers, _ = await deployment.request()
+        assert status == 503 and float(headers["Retry-After"]) > 0
+        assert deployment.backend.requests == []
+        await deployment.daemon.stop()
+
+    run(scenario)
