--- a/src/hibiscushaven/platform/dialects.py
+++ b/src/hibiscushaven/platform/dialects.py
@@ -38,7 +38,7 @@
             host=find_header(headers, "Host") or "",
             path=path,
             target=target,
-            headers=tuple(item for item in headers if item[0].lower() != "host"),
+            headers=headers,
             body=body,
             object_key=_object_key(find_header(headers, "Cookie")),
             time_left_s=int(left_ms) / 1000 if has_limit else None,
