--- a/src/hibiscushaven/feeds/turns.py
+++ b/src/hibiscushaven/feeds/turns.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-__all__ = ["READ_INTERVAL_S", "ReadingTurn"]
+__all__ = ["RANK_STEP_S", "READ_INTERVAL_S", "ReadingTurn"]
 
 # Backend servers leave within 2.5 s of their notice at the latest; a read each half second
 # leaves time for one failed read and for the way to the other VMs.
@@ -12,6 +12,9 @@
 # the first one does not.
 RANK_STEP_S = 0.3
 
+# First wait after a failed read, doubled with each further one; half of the interval.
+FIRST_BACKOFF_S = 0.25
+
 # Longest wait after failed reads: an outage of the store should not outlast it by much.
 MAX_BACKOFF_S = 1.0
 
@@ -63,7 +66,7 @@
     def failed(self, now: float) -> None:
         """Note a failed read."""
         self.failures += 1
-        self.retry_at = now + min(MAX_BACKOFF_S, 0.125 * 2.0 ** min(self.failures, 8))
+        self.retry_at = now + min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2.0 ** min(self.failures - 1, 8))
 
     def succeeded(self) -> None:
         """Note a complete read."""
--- a/src/hibiscushaven/gateway/daemon.py
+++ b/src/hibiscushaven/gateway/daemon.py
@@ -61,8 +61,8 @@
     path: str
     readiness_path: str
 
-    def read(self, request: Request) -> tuple[str, str, str]:
-        """Return host, region and failure domain of the caller."""
+    def read(self, request: Request) -> tuple[str, str]:
+        """Return the host that is asked for, and the caller's region."""
 
     def write(self, addresses: list[str], ttl_s: float) -> object:
         """Return the body of an answer."""
@@ -180,7 +180,7 @@
 
     def _directory_route(self) -> Route:
         async def directory(request: Request) -> Response:
-            host, region, failure_domain = self._directory.read(request)
+            host, region = self._directory.read(request)
             table = self._forwarder.table
             own = str(self._options.callers_at) if self.node.is_ready else None
             addresses = choose_addresses(
@@ -188,7 +188,6 @@
                 self.node.view,
                 own,
                 region,
-                failure_domain,
                 table.home_regions(host) if table is not None else frozenset(),
             )
             if not addresses:
--- a/src/hibiscushaven/gateway/directory.py
+++ b/src/hibiscushaven/gateway/directory.py
@@ -13,7 +13,6 @@
     view: FleetView,
     own: str | None,
     region: str,
-    failure_domain: str,
     home_regions: frozenset[str],
 ) -> list[str]:
     """Return the VMs that a caller should connect to.
@@ -29,13 +28,13 @@
     :param home_regions: the only regions that may serve the host; empty if all may.
     """
     ready = [
-        (state.region, state.failure_domain, state.callers_at)
+        (state.region, state.callers_at)
         for state in view.up(now)
         if state.is_ready and not state.is_leaving
     ]
     if own is not None:
-        ready.append((view.region, view.failure_domain, own))
-    near = [address for place, _, address in ready if place == region]
+        ready.append((view.region, own))
+    near = [address for place, address in ready if place == region]
     if not near:
-        near = [address for place, _, address in ready if place in home_regions]
-    return (near or [address for _, _, address in ready])[:ADDRESS_LIMIT]
+        near = [address for place, address in ready if place in home_regions]
+    return (near or [address for _, address in ready])[:ADDRESS_LIMIT]
--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -49,6 +49,10 @@
 # Time between two attempts to find the other VMs through the store.
 JOIN_RETRY_S = 1.0
 
+# Part of the cap on moving requests between regions that is used in a second. The cap holds for
+# two windows of 2 s, so that two thirds of it are used and the rest covers chance.
+SHIFT_PART_PER_S = 1 / 3
+
 # Weight of a new measurement of the arrivals, which is taken five times a second.
 ARRIVALS_SMOOTHING = 0.15
 
@@ -80,7 +84,10 @@
         self.view = FleetView(options.name, options.region, options.failure_domain)
         self.picker = Picker(
             PickerOptions(
-                options.name, options.region, options.regions, shift_per_s=options.shift_cap / 3
+                options.name,
+                options.region,
+                options.regions,
+                shift_per_s=SHIFT_PART_PER_S * options.shift_cap,
             ),
             self.registry,
             self.view,
--- a/src/hibiscushaven/gateway/reader.py
+++ b/src/hibiscushaven/gateway/reader.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Callable
 
-from hibiscushaven.feeds import ReadingTurn
+from hibiscushaven.feeds import RANK_STEP_S, ReadingTurn
 from hibiscushaven.process import Clock
 from hibiscushaven.routing import OperatorState
 
@@ -122,7 +122,7 @@
             age_s = self._now() - self._operator_confirmed_at
             rank = self._rank(self.can_read)
             is_reader = rank == 0 and self.can_read
-            if not is_reader and age_s < OPERATOR_MAX_AGE_S + 0.3 * rank:
+            if not is_reader and age_s < OPERATOR_MAX_AGE_S + RANK_STEP_S * rank:
                 await asyncio.sleep(CHECK_INTERVAL_S)
                 continue
             is_stale = age_s > OPERATOR_MAX_AGE_S
--- a/src/hibiscushaven/gateway/tests/test_directory.py
+++ b/src/hibiscushaven/gateway/tests/test_directory.py
@@ -17,7 +17,7 @@
 
 
 def choose(view, now=0.0, own="vm-1", region="serra", homes=frozenset()):
-    return choose_addresses(now, view, own, region, "serra-a", homes)
+    return choose_addresses(now, view, own, region, homes)
 
 
 def test_own_region_only():
--- a/src/hibiscushaven/placement/loads.py
+++ b/src/hibiscushaven/placement/loads.py
@@ -16,6 +16,9 @@
 # Age up to which reports are told to other VMs; each is told in several states.
 NEWS_LIFE_S = 0.1
 
+# A single work time counts as so many usual ones at most.
+MOST_RELATIVE_TIME = 20.0
+
 # Pauses after failures in a row, doubled each time: short, since a server that restarts is
 # back after some seconds and a probe costs one request that can be sent again.
 FIRST_PAUSE_S = 0.25
@@ -100,7 +103,9 @@
         self.last_answer_at = now
         self.failed_part += SMOOTHING * (is_failure - self.failed_part)
         if relative_time is not None:
-            self.relative_time += SMOOTHING * (min(relative_time, 20.0) - self.relative_time)
+            self.relative_time += SMOOTHING * (
+                min(relative_time, MOST_RELATIVE_TIME) - self.relative_time
+            )
         if report is not None:
             self.report, self.reported_at = report, now
 
@@ -166,6 +171,7 @@
     :ivar mean_s: for all.
     """
 
+    # Short requests of today's services; measurements replace these within seconds.
     known_s: float = 0.1
     unknown_s: float = 0.25
     mean_s: float = 0.15
--- a/src/hibiscushaven/placement/picker.py
+++ b/src/hibiscushaven/placement/picker.py
@@ -42,8 +42,15 @@
 # A server that other VMs lost so recently may have restarted and be cold without knowing it.
 LOSS_NEWS_S = 4.0
 
+# Shortest time to come back after, so that callers do not return before anything has changed.
 LEAST_RETRY_AFTER_S = 0.05
 
+# Time to come back after when no server is usable; records are read each 0.5 s.
+PAUSE_S = 0.5
+
+# Work times that a failed answer costs its caller.
+FAILURE_WEIGHT = 2.0
+
 
 @dataclass(frozen=True, slots=True)
 class PickerOptions:
@@ -355,7 +362,7 @@
             soonest_s = min(soonest_s, wait_s)
             if not _has_room(busy, server.record.slots, work_s + wait_s, demand):
                 continue
-            cost = work_s * (1.0 + ORDER_BIAS * place + 2.0 * load.failed_part) + wait_s
+            cost = work_s * (1.0 + ORDER_BIAS * place + FAILURE_WEIGHT * load.failed_part) + wait_s
             if best is None or cost < best_cost:
                 best_cost = cost
                 best = Placement(server, region, is_known, busy, work_s + wait_s, len(order))
@@ -401,7 +408,7 @@
         return options.warmup_per_s if options is not None else 1.0
 
     def _pause_s(self, demand: Demand) -> float:
-        return max(LEAST_RETRY_AFTER_S, min(0.5, demand.time_left_s / 4))
+        return max(LEAST_RETRY_AFTER_S, min(PAUSE_S, demand.time_left_s / 4))
 
 
 def _has_room(busy: int, slots: int, predicted_s: float, demand: Demand) -> bool:
