Set aside servers that let requests run into their limit

Now they count as a work time, slowness fades by half in 3 s without requests, and a server three times slower than expected is replaced by the next one in the order of its objects. Also: connections to addresses that are gone are closed, and lost servers are remembered up to a limit (both grew without one).

--- a/src/hibiscushaven/forwarding/forwarder.py
+++ b/src/hibiscushaven/forwarding/forwarder.py
@@ -22,6 +22,7 @@
     Picker,
     Placement,
     RetryBudget,
+    ServerLoad,
     ServerLoads,
 )
 from hibiscushaven.process import Clock
@@ -289,6 +290,8 @@
         elif stop in (Stop.CONNECTION_LOST, Stop.SILENT, Stop.TRUNCATED):
             load.on_loss(now)
             self._suspects.on_loss(now, server_id, course.fingerprint, course.sent_at)
+        elif stop is Stop.DEADLINE:
+            self._on_timeout(now, course, load)
         elif stop is Stop.REFUSED:
             load.on_answer(now, None, is_failure=True, report=None)
         elif stop is Stop.MISDIRECTED:
@@ -337,6 +340,16 @@
             return None
         return answer
 
+    def _on_timeout(self, now: float, course: Course, load: ServerLoad) -> None:
+        """Count an attempt that ended at its limit against its server, if it had enough time."""
+        placement = course.placement
+        if placement is None:
+            return
+        times = self._picker.work_times(course.service)
+        expected_s = times.expected_s(placement.is_known_object) + placement.wait_s
+        if now - course.sent_at > expected_s:
+            load.on_timeout(now, (now - course.sent_at) / expected_s)
+
     def _measure(
         self, now: float, course: Course, placement: Placement, waited_s: float
     ) -> float | None:
--- a/src/hibiscushaven/forwarding/tests/test_forwarder.py
+++ b/src/hibiscushaven/forwarding/tests/test_forwarder.py
@@ -89,6 +89,12 @@
     assert answer.status == 200 and len(client.requests) == 2
 
 
+def test_attempt_that_ends_at_its_limit_counts_against_its_server():
+    forwarder, clock, _, loads = make_forwarder([Stop.DEADLINE], servers=1, step_s=0.8)
+    assert asyncio.run(forwarder.handle(make_request(clock))).status == 504
+    assert loads.of("s0").measured_slowness(clock.now()) > 1.5
+
+
 def test_unknown_route_and_missing_configuration():
     forwarder, clock, _, _ = make_forwarder([])
     assert asyncio.run(forwarder.handle(make_request(clock, "/y/1"))).status == 404
--- a/src/hibiscushaven/gateway/daemon.py
+++ b/src/hibiscushaven/gateway/daemon.py
@@ -86,11 +86,18 @@
         self._directory = directory
         self._clock = clock
         self._metrics = Metrics()
-        self.node = GatewayNode(options, store, clock, self._on_operator, self._take_arrivals)
         timeouts = ClientTimeouts(
             connect=CONNECT_TIMEOUT_S, progress=PROGRESS_TIMEOUT_S, idle=BACKEND_IDLE_S
         )
         self._client = BackendClient(timeouts=timeouts, dialect=backends)
+        self.node = GatewayNode(
+            options,
+            store,
+            clock,
+            self._on_operator,
+            self._take_arrivals,
+            self._client.empty_pool,
+        )
         self._forwarder = Forwarder(
             self.node.picker,
             self.node.loads,
--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -16,6 +16,7 @@
     token_of,
 )
 from hibiscushaven.fleet.messages import encode
+from hibiscushaven.ini.fields import Endpoint
 from hibiscushaven.placement import Picker, PickerOptions, ServerLoads
 from hibiscushaven.process import Clock
 from hibiscushaven.routing import OperatorState
@@ -64,6 +65,7 @@
     """Knowledge of one VM: operator's state, backend servers, other VMs, loads.
 
     :param on_operator: called with each newer state of the operator.
+    :param on_address_gone: called with each address that no known server has any more.
     """
 
     def __init__(
@@ -73,12 +75,15 @@
         clock: Clock,
         on_operator: Callable[[OperatorState], None],
         take_arrivals: Callable[[], dict[str, int]],
+        on_address_gone: Callable[[Endpoint], None] = lambda address: None,
     ) -> None:
         self._options = options
         self._store = store
         self._clock = clock
         self._on_operator = on_operator
         self._take_arrivals = take_arrivals
+        self._on_address_gone = on_address_gone
+        self._addresses: frozenset[Endpoint] = frozenset()
         self.registry = Registry()
         self.loads = ServerLoads()
         self.view = FleetView(options.name, options.region, options.failure_domain)
@@ -391,6 +396,10 @@
         names = frozenset(self.registry.servers)
         self.loads.keep_only(names)
         self.picker.keep_only(names)
+        addresses = frozenset(s.record.address for s in self.registry.servers.values())
+        for address in self._addresses - addresses:
+            self._on_address_gone(address)
+        self._addresses = addresses
         _LOG.info(
             "backend servers changed",
             extra={
--- a/src/hibiscushaven/gateway/tests/test_node.py
+++ b/src/hibiscushaven/gateway/tests/test_node.py
@@ -101,6 +101,20 @@
     in_loop(scenario)
 
 
+def test_connections_to_addresses_that_are_gone_are_closed():
+    def scenario():
+        gone = []
+        node = make_node()
+        node._on_address_gone = gone.append
+        node.registry.replace_all(0.0, 10, [make_record("s1")], gap_s=0.5)
+        node._on_servers("test")
+        node.registry.replace_all(0.5, 20, [], gap_s=0.5)
+        node._on_servers("test")
+        assert gone == [make_record("s1").address]
+
+    in_loop(scenario)
+
+
 def test_vms_of_other_regions_confirm_nothing():
     def scenario():
         node = make_node()
--- a/src/hibiscushaven/placement/__init__.py
+++ b/src/hibiscushaven/placement/__init__.py
@@ -1,7 +1,7 @@
 """Decisions about where a request runs, without clock or network of their own."""
 
 from .budget import RetryBudget
-from .loads import LoadReport, ServerLoads
+from .loads import LoadReport, ServerLoad, ServerLoads
 from .picker import Demand, NoRoom, Picker, PickerOptions, Placement
 
 __all__ = [
@@ -12,5 +12,6 @@
     "PickerOptions",
     "Placement",
     "RetryBudget",
+    "ServerLoad",
     "ServerLoads",
 ]
--- a/src/hibiscushaven/placement/loads.py
+++ b/src/hibiscushaven/placement/loads.py
@@ -13,6 +13,13 @@
 # A server's report of how fast its machine is changes several times a second.
 REPORT_LIFE_S = 0.4
 
+# Weight of a new work time in the slowness of a server, of which a VM sees about one a second.
+SLOWNESS_SMOOTHING = 0.2
+
+# Time in which measured slowness fades by half while no requests go to the server, so that it is
+# tried again some seconds after it was set aside.
+SLOWNESS_HALF_LIFE_S = 3.0
+
 # Age up to which reports are told to other VMs; each is told in several states.
 NEWS_LIFE_S = 0.1
 
@@ -59,6 +66,7 @@
     lost_at: float | None = None
     last_answer_at: float = 0.0
     relative_time: float = 1.0
+    measured_at: float = 0.0
     failed_part: float = 0.0
     report: LoadReport | None = None
     reported_at: float = 0.0
@@ -77,7 +85,12 @@
             reported, at = self.report.slowness, self.reported_at
         if now - at > REPORT_LIFE_S:
             reported = 1.0
-        return max(reported, self.relative_time)
+        return max(reported, self.measured_slowness(now))
+
+    def measured_slowness(self, now: float) -> float:
+        """Return the work times of late over what was expected, fading while none come in."""
+        age_s = max(0.0, now - self.measured_at)
+        return 1.0 + (self.relative_time - 1.0) * 0.5 ** (age_s / SLOWNESS_HALF_LIFE_S)
 
     def is_avoided(self, now: float, work_s: float) -> bool:
         """Return whether it should get no requests for the moment."""
@@ -103,12 +116,17 @@
         self.last_answer_at = now
         self.failed_part += SMOOTHING * (is_failure - self.failed_part)
         if relative_time is not None:
-            self.relative_time += SMOOTHING * (
-                min(relative_time, MOST_RELATIVE_TIME) - self.relative_time
-            )
+            self._measure(now, relative_time)
         if report is not None:
             self.report, self.reported_at = report, now
 
+    def on_timeout(self, now: float, relative_time: float) -> None:
+        """Note an attempt that ended at its time limit.
+
+        :param relative_time: time until then over what was expected.
+        """
+        self._measure(now, relative_time)
+
     def on_loss(self, now: float, is_unreachable: bool = False) -> None:
         """Note a connection that broke or stayed silent.
 
@@ -121,6 +139,12 @@
         self.failures = min(self.failures + 1, 10)
         self.avoid_until = now + pause
 
+    def _measure(self, now: float, relative_time: float) -> None:
+        known = self.measured_slowness(now)
+        sample = min(relative_time, MOST_RELATIVE_TIME)
+        self.relative_time = known + SLOWNESS_SMOOTHING * (sample - known)
+        self.measured_at = now
+
 
 class ServerLoads:
     """Loads by id of the backend server."""
--- a/src/hibiscushaven/placement/picker.py
+++ b/src/hibiscushaven/placement/picker.py
@@ -22,6 +22,11 @@
 RETURN_QUEUE_PART = 2.5
 RETURN_OBJECTIVE_PART = 1.25
 
+# Measured slowness from which a server is set aside, so that the next one in the order of its
+# objects learns them; never more than half of a region's servers.
+SET_ASIDE_SLOWNESS = 3.0
+MOST_SET_ASIDE = 1 / 2
+
 # Part of a region's slots in use up to which a request may go to a server that does not know
 # its object. It takes a slot for about three times as long there, and makes the server forget
 # another object; under load that would spread until no server knows anything.
@@ -88,15 +93,24 @@
 
 @dataclass(frozen=True, slots=True)
 class Placement:
-    """The backend server of an attempt, with what decided it."""
+    """The backend server of an attempt, with what decided it.
+
+    :ivar work_s: predicted work time.
+    :ivar wait_s: predicted wait for a slot.
+    """
 
     server: KnownServer
     region: str
     is_known_object: bool
     busy: int
-    predicted_s: float
+    work_s: float
+    wait_s: float
     candidates: int
 
+    @property
+    def predicted_s(self) -> float:
+        return self.work_s + self.wait_s
+
 
 @dataclass(frozen=True, slots=True)
 class NoRoom:
@@ -348,14 +362,17 @@
         soonest_s = demand.time_left_s
         place = -1
         may_spread = self._filled(servers) < SPREAD_PART
+        set_aside = self._set_aside(now, servers)
         for server_id in order:
             server = by_id[server_id]
             load = self._loads.of(server_id)
             if load.is_avoided(now, state.times.unknown_s) or not self._may_send(now, server):
                 continue
-            place += 1
             busy = self.busy(server_id)
-            is_known = place < copies
+            is_known = False
+            if server_id not in set_aside:
+                place += 1
+                is_known = place < copies
             if not is_known and (not may_spread or busy >= server.record.slots):
                 continue
             work_s, wait_s = self._predict(now, server, load, busy, is_known, state)
@@ -365,13 +382,23 @@
             cost = work_s * (1.0 + ORDER_BIAS * place + FAILURE_WEIGHT * load.failed_part) + wait_s
             if best is None or cost < best_cost:
                 best_cost = cost
-                best = Placement(server, region, is_known, busy, work_s + wait_s, len(order))
+                best = Placement(server, region, is_known, busy, work_s, wait_s, len(order))
         if best is not None:
             return best
         return NoRoom(
             "all backend servers are busy", max(LEAST_RETRY_AFTER_S, soonest_s), len(order)
         )
 
+    def _set_aside(self, now: float, servers: tuple[KnownServer, ...]) -> frozenset[str]:
+        """Return the servers that are much slower than expected, unless they are many."""
+        names = (server.record.server_id for server in servers)
+        slow = frozenset(
+            name
+            for name in names
+            if self._loads.of(name).measured_slowness(now) > SET_ASIDE_SLOWNESS
+        )
+        return slow if len(slow) <= MOST_SET_ASIDE * len(servers) else frozenset()
+
     def _predict(
         self,
         now: float,
--- a/src/hibiscushaven/placement/tests/test_picker.py
+++ b/src/hibiscushaven/placement/tests/test_picker.py
@@ -130,6 +130,32 @@
     assert world.pick(now=2.1).server.record.server_id != first
 
 
+def test_server_that_lets_requests_run_into_their_limit_is_set_aside_and_tried_again():
+    world = World(*serra(4))
+    first = world.pick().server.record.server_id
+    for number in range(4):
+        world.start(f"s{number}", 3, now=1.9)
+    for step in range(6):
+        world.loads.of(first).on_timeout(1.0 + step / 10, 8.0)
+    chosen = set()
+    for _ in range(2):
+        choice = world.pick(now=2.0)
+        assert choice.is_known_object
+        chosen.add(choice.server.record.server_id)
+        world.start(choice.server.record.server_id, 1, now=2.0)
+    assert first not in chosen
+    assert world.loads.of(first).measured_slowness(20.0) < 1.2
+
+
+def test_slowness_of_most_servers_sets_none_aside():
+    world = World(*serra(4))
+    for number in range(4):
+        for _ in range(6):
+            world.loads.of(f"s{number}").on_timeout(1.0, 8.0)
+    first = world.pick(now=1.0, objective_left_s=2.0, time_left_s=2.0)
+    assert isinstance(first, Placement) and first.is_known_object
+
+
 def test_slow_server_gets_less():
     world = World(*serra(2))
     first = world.pick().server.record.server_id
--- a/src/hibiscushaven/quarantine/suspects.py
+++ b/src/hibiscushaven/quarantine/suspects.py
@@ -8,6 +8,9 @@
 # crash; a server that restarts is away for longer.
 CONFIRM_S = 1.0
 
+# Servers that are remembered; the one that was first lost goes first.
+SERVER_LIMIT = 256
+
 # Requests that are remembered for each server.
 SUSPECT_LIMIT = 64
 
@@ -38,6 +41,8 @@
 
     def on_loss(self, now: float, server_id: str, fingerprint: str, sent_at: float) -> None:
         """Note a request whose connection broke."""
+        if server_id not in self._lost and len(self._lost) >= SERVER_LIMIT:
+            del self._lost[next(iter(self._lost))]
         lost = self._lost.setdefault(server_id, {})
         for key in [key for key, (at, _) in lost.items() if now - at > CONFIRM_S]:
             del lost[key]
