--- a/src/hibiscushaven/platform/tests/backend_standin.py
+++ b/src/hibiscushaven/platform/tests/backend_standin.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 
 
 class BackendStandIn:
@@ -69,32 +71,31 @@
     return script
 
 
-def unframed(body, is_reset):
-    """Return a script for an answer that ends with its connection."""
+class Unframed:
+    """Script for an answer without a length, which ends with its connection.
 
-    async def script(head, writer):
-        request_id = header(head, "Request-Id")
-        writer.write(
-            f"HTTP/1.1 200 X\r\nRequest-Id: {request_id}\r\nResponse-Seal: 1\r\n\r\n".encode()
-        )
-        writer.write(body)
-        await writer.drain()
-        if is_reset:
-            import socket
-            import struct
+    :ivar may_end: set once the head was read; a reset discards what waits at the other end.
+    """
 
-            # Time for the bytes to be read: a reset discards what waits at the other end.
-            await asyncio.sleep(0.02)
-            raw = writer.get_extra_info("socket")
+    def __init__(self, body, is_reset):
+        self.may_end = asyncio.Event()
+        self._body = body
+        self._is_reset = is_reset
+
+    async def __call__(self, head, writer):
+        request_id = header(head, "Request-Id")
+        lines = f"HTTP/1.1 200 X\r\nRequest-Id: {request_id}\r\nResponse-Seal: 1\r\n\r\n"
+        writer.write(lines.encode() + self._body)
+        await self.may_end.wait()
+        if self._is_reset:
             linger = struct.pack("ii", 1, 0)
+            raw = writer.get_extra_info("socket")
             raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
             writer.transport.abort()
         else:
             writer.close()
         raise ConnectionResetError
 
-    return script
-
 
 async def broken(head, writer):
     """Close the connection without an answer."""
--- a/src/hibiscushaven/platform/tests/store_standin.py
+++ b/src/hibiscushaven/platform/tests/store_standin.py
@@ -2,14 +2,13 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 from collections import deque
 from enum import StrEnum, auto
 
 from aiohttp import web
 
-_POLL_S = 0.005
-
 
 class Fault(StrEnum):
     """What happens to one call."""
@@ -37,6 +36,7 @@
         self.faults = deque()
         self.calls = []
         self._runner = None
+        self._changed = asyncio.Event()
 
     async def start(self):
         app = web.Application()
@@ -55,12 +55,17 @@
         raw = value if isinstance(value, bytes) else json.dumps(value).encode()
         self.version += 1
         self.rows[table, key] = raw, self.version
-        self.log.append((self.version, table, key, raw))
+        self._note(table, key, raw)
 
     def drop(self, table, key):
         self.version += 1
         self.rows.pop((table, key), None)
-        self.log.append((self.version, table, key, None))
+        self._note(table, key, None)
+
+    def _note(self, table, key, raw):
+        self.log.append((self.version, table, key, raw))
+        self._changed.set()
+        self._changed = asyncio.Event()
 
     async def _handle(self, request):
         call = request.match_info["call"]
@@ -111,7 +116,9 @@
                     changes[key] = _row(table, key, raw, version)
             if changes or loop.time() >= until:
                 return self._answer({"Rows": list(changes.values())})
-            await asyncio.sleep(_POLL_S)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout_at(until):
+                    await self._changed.wait()
 
     def _answer(self, body):
         return web.json_response({**body, "Ver": self.version, "Now": "1ms"})
--- a/src/hibiscushaven/platform/tests/test_backends.py
+++ b/src/hibiscushaven/platform/tests/test_backends.py
@@ -8,7 +8,7 @@
 from hibiscushaven.ini.fields import Endpoint
 from hibiscushaven.platform.dialects import PlatformBackends
 
-from .backend_standin import BackendStandIn, answer, broken, header, silent, unframed
+from .backend_standin import BackendStandIn, Unframed, answer, broken, header, silent
 
 
 def attempt_all(scripts, count=1, timeout_s=5.0, **fields):
@@ -33,6 +33,8 @@
             )
             try:
                 head = await client.attempt(request)
+                if isinstance(scripts[number], Unframed):
+                    scripts[number].may_end.set()
                 results.append((head.status, await head.read(10**6)))
             except AttemptError as error:
                 results.append(error)
@@ -71,7 +73,7 @@
         (answer(request_id="id-other"), Stop.WRONG_ATTEMPT_ID, Outcome.UNKNOWN),
         (answer(seal=None), Stop.MALFORMED, Outcome.UNKNOWN),
         (answer(Content_Encoding="gzip"), Stop.MALFORMED, Outcome.UNKNOWN),
-        (unframed(b"half", is_reset=True), Stop.TRUNCATED, Outcome.UNKNOWN),
+        (Unframed(b"half", is_reset=True), Stop.TRUNCATED, Outcome.UNKNOWN),
         (broken, Stop.CONNECTION_LOST, Outcome.UNKNOWN),
     ],
 )
@@ -82,7 +84,7 @@
 
 
 def test_answer_that_ends_with_its_connection_is_whole():
-    results, _ = attempt_all([unframed(b"whole", is_reset=False)])
+    results, _ = attempt_all([Unframed(b"whole", is_reset=False)])
     assert results == [(200, b"whole")]
 
 
