Add a known miss: a lost server is not cold for the next choice

Found on reading the change again: Registry.mark_server_cold replaces the record without a new version, and Picker.usable keeps its groups by version.

--- a/src/hibiscushaven/placement/tests/test_picker.py
+++ b/src/hibiscushaven/placement/tests/test_picker.py
@@ -234,3 +234,11 @@
         home.add(choice.server.record.server_id)
         world.start(choice.server.record.server_id)
     assert chosen <= home and len(home) <= 2
+
+
+def test_server_that_was_lost_is_cold_for_the_next_choice():
+    world = World(make_record("s0"))
+    world.pick()
+    world.registry.mark_server_cold("s0", 9.0)
+    (server,) = world.picker.usable("stock")["serra"]
+    assert world.picker.is_cold(1.0, server)
