Let the choice of a server see what a VM presumes of it

Cause: mark_server_cold and mark_cold replaced records of the registry without a new version, and the picker keeps its groups by that version, so that a server found unreachable was not cold for the next choice. Ruled out: raising the version, which would make every VM pull the whole list from its peers for what only one VM presumes.

Change: the registry counts a revision for each change of any kind; the picker keeps its groups by it.

--- a/src/hibiscushaven/discovery/registry.py
+++ b/src/hibiscushaven/discovery/registry.py
@@ -38,11 +38,14 @@
     A record that disappears while the store was away is kept for a grace time, since its
     server may only have been unable to renew it.
 
-    :ivar version: version of the last change that matters.
+    :ivar version: version of the last change that matters to other VMs.
+    :ivar revision: number of the last change of any kind, also of what only this VM presumes;
+        whoever keeps records takes them anew when it moves.
     """
 
     def __init__(self) -> None:
         self.version = 0
+        self.revision = 0
         self._servers: dict[str, KnownServer] = {}
         self._by_service: dict[str, tuple[KnownServer, ...]] = {}
         self._grace_until = 0.0
@@ -143,6 +146,7 @@
         return True
 
     def _index(self) -> None:
+        self.revision += 1
         groups: dict[str, list[KnownServer]] = {}
         for server_id in sorted(self._servers):
             server = self._servers[server_id]
--- a/src/hibiscushaven/placement/picker.py
+++ b/src/hibiscushaven/placement/picker.py
@@ -175,10 +175,10 @@
 
     def usable(self, service: str) -> Mapping[str, tuple[KnownServer, ...]]:
         """Return the servers of a service that may get requests, by region."""
-        versions = (self._registry.version, self._operator.version)
-        if versions != self._usable_of:
+        revisions = (self._registry.revision, self._operator.version)
+        if revisions != self._usable_of:
             self._usable = {}
-            self._usable_of = versions
+            self._usable_of = revisions
         found = self._usable.get(service)
         if found is None:
             found = self._usable[service] = self._find_usable(service)
