Hold callers to the limits of the configuration, and adopt changed settings

Cause: the limits on header bytes, header time and idle time were decoded and not used, and the settings file was read again at SIGHUP only, for the log level alone. A caller could hold a connection for two minutes with half a head, and a file that changed without a signal went unseen until the next restart.

Ruled out: checking the size of the head in the application, which runs when the head has been read already; inotify, which needs a watch a VM may not have.

Change: connections of callers answer 431 and 408 themselves, after the answer that is due on the connection; a connection keeps the idle limit that held when it fell silent.

--- a/src/hibiscushaven/forwarding/forwarder.py
+++ b/src/hibiscushaven/forwarding/forwarder.py
@@ -139,6 +139,12 @@
         self._splits.keep_only(names)
         self._returns.keep_only(names)
 
+    def set_budget(self, options: BudgetOptions) -> None:
+        """Use other bounds of repeats."""
+        self._budget = options
+        for budget in self._budgets.values():
+            budget.set_bounds(options.window_s, options.ratio, options.fixed)
+
     def take_arrivals(self) -> dict[str, int]:
         """Return the requests by service since the last call."""
         arrivals, self._arrivals = self._arrivals, {}
--- a/src/hibiscushaven/gateway/daemon.py
+++ b/src/hibiscushaven/gateway/daemon.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
+from dataclasses import fields, replace
 from typing import Protocol
 
 from starlette.applications import Starlette
@@ -14,8 +16,8 @@
 from hibiscushaven.ini.fields import Endpoint
 from hibiscushaven.metrics import Metrics
 from hibiscushaven.metrics.exposition import to_text
-from hibiscushaven.process import Clock, HttpServer
-from hibiscushaven.routing import OperatorState
+from hibiscushaven.process import Clock, ConnectionLimits, HttpServer
+from hibiscushaven.routing import CallerLimits, OperatorState
 
 from .directory import choose_addresses
 from .node import GatewayNode
@@ -26,8 +28,8 @@
 
 _LOG = logging.getLogger(__name__)
 
-# Callers use connections again that were idle for less than the configuration's limit; a
-# longer time here means that they are the ones that close.
+# Time that idle connections of callers are kept before the first configuration; longer than
+# what configurations allow, so that no caller is surprised.
 CALLER_IDLE_S = 120
 
 # Idle connections to backend servers are closed before the servers close them, which they do
@@ -50,6 +52,9 @@
 
 _CHECK_S = 0.05
 
+# Options that can change while the gateway runs; the others need a restart.
+_CHANGEABLE = frozenset({"regions", "answer_ttl_s", "grace_s", "shift_cap", "budget"})
+
 
 class DirectoryDialect(Protocol):
     """Port to the questions of callers that ask where to connect.
@@ -110,8 +115,9 @@
             self.node.on_load_change,
         )
         self._app = CallerApp(self._forwarder, callers, clock)
+        self._caller_limits = _connection_limits(CallerLimits(idle_timeout_s=CALLER_IDLE_S))
         self._servers = [
-            _server(self._app, options.callers_at),
+            _server(self._app, options.callers_at, lambda: self._caller_limits),
             _server(Starlette(routes=[self._readiness_route()]), options.readiness_at),
             _server(Starlette(routes=[self._directory_route()]), options.directory_at),
         ]
@@ -136,6 +142,22 @@
             },
         )
 
+    def adopt(self, options: GatewayOptions) -> None:
+        """Use changed options as far as that is possible without a restart."""
+        changed = {
+            item.name
+            for item in fields(GatewayOptions)
+            if getattr(options, item.name) != getattr(self._options, item.name)
+        }
+        taken = {name: getattr(options, name) for name in sorted(changed & _CHANGEABLE)}
+        self._options = replace(self._options, **taken)
+        self._forwarder.set_budget(self._options.budget)
+        self.node.adopt(self._options)
+        _LOG.info(
+            "options adopted",
+            extra={"taken": sorted(taken), "need_restart": sorted(changed - _CHANGEABLE)},
+        )
+
     async def stop(self) -> None:
         """Stop without cutting off a request.
 
@@ -175,6 +197,7 @@
     def _on_operator(self, operator: OperatorState) -> None:
         if operator.configuration is not None:
             self._forwarder.set_configuration(operator.configuration)
+            self._caller_limits = _connection_limits(operator.configuration.limits)
 
     def _take_arrivals(self) -> dict[str, int]:
         return self._forwarder.take_arrivals()
@@ -230,5 +253,11 @@
         }
 
 
-def _server(app: object, address: Endpoint) -> HttpServer:
-    return HttpServer(app, address.host, address.port, keep_alive_s=CALLER_IDLE_S, has_date=False)
+def _server(
+    app: object, address: Endpoint, limits: Callable[[], ConnectionLimits] | None = None
+) -> HttpServer:
+    return HttpServer(app, address.host, address.port, CALLER_IDLE_S, has_date=False, limits=limits)
+
+
+def _connection_limits(limits: CallerLimits) -> ConnectionLimits:
+    return ConnectionLimits(limits.max_header_bytes, limits.header_timeout_s, limits.idle_timeout_s)
--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -87,17 +87,7 @@
         self.registry = Registry()
         self.loads = ServerLoads()
         self.view = FleetView(options.name, options.region, options.failure_domain)
-        self.picker = Picker(
-            PickerOptions(
-                options.name,
-                options.region,
-                options.regions,
-                shift_per_s=SHIFT_PART_PER_S * options.shift_cap,
-            ),
-            self.registry,
-            self.view,
-            self.loads,
-        )
+        self.picker = Picker(_picker_options(options), self.registry, self.view, self.loads)
         self._link = FleetLink(clock.now, self._on_message, self._give_news)
         self._reader = StoreReader(
             store, clock, self._rank, self._on_listing, self._adopt_operator, self._send_state
@@ -146,6 +136,11 @@
         self._reader.start()
         self._tasks = [asyncio.create_task(loop) for loop in (self._join(), self._tick())]
 
+    def adopt(self, options: GatewayOptions) -> None:
+        """Use changed options that need no restart."""
+        self._options = options
+        self.picker.set_options(_picker_options(options))
+
     def leave(self) -> None:
         """Tell the others at once that this VM takes no new callers."""
         self._is_leaving = True
@@ -410,3 +405,12 @@
             },
         )
         self._send_state()
+
+
+def _picker_options(options: GatewayOptions) -> PickerOptions:
+    return PickerOptions(
+        options.name,
+        options.region,
+        options.regions,
+        shift_per_s=SHIFT_PART_PER_S * options.shift_cap,
+    )
--- a/src/hibiscushaven/logs/bounded.py
+++ b/src/hibiscushaven/logs/bounded.py
@@ -24,6 +24,7 @@
     counted. The count is written with the first line that fits again, so that a reader knows
     that something is missing and how much. Warnings and errors ignore the rate.
 
+    :ivar lines_per_s: rate of lines below warnings.
     :ivar dropped: lines left out so far.
     """
 
@@ -36,7 +37,7 @@
         super().__init__()
         os.set_blocking(descriptor, False)
         self._descriptor = descriptor
-        self._lines_per_s = lines_per_s
+        self.lines_per_s = lines_per_s
         self._clock = clock
         self._tokens = float(lines_per_s)
         self._filled_at = clock()
@@ -69,8 +70,8 @@
 
     def _take_token(self) -> bool:
         now = self._clock()
-        earned = (now - self._filled_at) * self._lines_per_s
-        self._tokens = min(float(self._lines_per_s), self._tokens + earned)
+        earned = (now - self._filled_at) * self.lines_per_s
+        self._tokens = min(float(self.lines_per_s), self._tokens + earned)
         self._filled_at = now
         if self._tokens < 1.0:
             return False
--- a/src/hibiscushaven/placement/budget.py
+++ b/src/hibiscushaven/placement/budget.py
@@ -37,6 +37,12 @@
         # Start of the bucket, requests, repeats.
         self._buckets: deque[list[float]] = deque()
 
+    def set_bounds(self, window_s: float, ratio: float, fixed: float) -> None:
+        """Use other bounds; what was counted so far still counts."""
+        self._window_s = window_s
+        self._ratio = ratio
+        self._fixed = fixed
+
     def count_request(self, now: float) -> None:
         """Note a request of a caller."""
         self._bucket(now)[1] += 1
--- a/src/hibiscushaven/placement/flows.py
+++ b/src/hibiscushaven/placement/flows.py
@@ -75,6 +75,8 @@
     Objects are spread over the regions by their hash, the same at all VMs of a region, so that
     an object's requests stay in one region while the shares move slowly.
 
+    :ivar most_per_s: part of the requests that may move in a second.
+
     Examples
     ========
 
@@ -90,7 +92,7 @@
 
     def __init__(self, region: str, most_per_s: float) -> None:
         self._region = region
-        self._most_per_s = most_per_s
+        self.most_per_s = most_per_s
         self._shares: dict[str, float] = {}
         self._moved_at: float | None = None
 
@@ -104,7 +106,7 @@
             self._shares = dict(target)
             self._moved_at = now
             return
-        step = self._most_per_s * max(0.0, now - self._moved_at)
+        step = self.most_per_s * max(0.0, now - self._moved_at)
         self._moved_at = now
         names = {*self._shares, *target}
         gaps = {name: target.get(name, 0.0) - self._shares.get(name, 0.0) for name in names}
--- a/src/hibiscushaven/placement/picker.py
+++ b/src/hibiscushaven/placement/picker.py
@@ -165,6 +165,13 @@
         self._usable_of: tuple[int, int] = (-1, -1)
         self._tokens: dict[str, int] = {}
 
+    def set_options(self, options: PickerOptions) -> None:
+        """Use changed options of the deployment."""
+        self._options = options
+        self._usable_of = (-1, -1)
+        for state in self._services.values():
+            state.shares.most_per_s = options.shift_per_s
+
     def set_operator(self, operator: OperatorState) -> None:
         """Use a newer state of the operator."""
         self._operator = operator
--- a/src/hibiscushaven/platform/program.py
+++ b/src/hibiscushaven/platform/program.py
@@ -6,7 +6,8 @@
 import signal
 
 from hibiscushaven.gateway import GatewayDaemon
-from hibiscushaven.gateway.settings import GatewaySettings, load_gateway_settings
+from hibiscushaven.gateway.settings import GatewaySettings
+from hibiscushaven.gateway.settings_watch import SettingsWatch
 from hibiscushaven.logs import BoundedHandler, configure_logs
 from hibiscushaven.process import SystemClock, on_stop
 
@@ -15,13 +16,11 @@
 
 __all__ = ["run_gateway"]
 
-_LOG = logging.getLogger(__name__)
-
 
 async def run_gateway(settings: GatewaySettings, path: str) -> None:
     """Run the gateway until SIGTERM.
 
-    :param path: settings file, which is read again at SIGHUP.
+    :param path: settings file, which is read again when it changes and at SIGHUP.
     """
     handler = BoundedHandler(lines_per_s=settings.log_lines_per_s)
     configure_logs(settings.log_level, "json", settings.options.name, handler)
@@ -37,22 +36,19 @@
     )
     stopping = asyncio.Event()
     on_stop(stopping.set)
-    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, _check_again, settings, path)
+
+    def adopt(changed: GatewaySettings) -> None:
+        logging.getLogger().setLevel(changed.log_level.upper())
+        handler.lines_per_s = changed.log_lines_per_s
+        daemon.adopt(changed.options)
+
+    watch = SettingsWatch(path, settings, adopt)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, watch.read_again)
     await daemon.start()
+    watching = asyncio.create_task(watch.run())
     # What the start allocated lives as long as the process.
     gc.collect()
     gc.freeze()
     await stopping.wait()
     await daemon.stop()
-
-
-def _check_again(settings: GatewaySettings, path: str) -> None:
-    """Read the settings again and log what differs; addresses need a restart."""
-    result = load_gateway_settings(path)
-    if result.is_error():
-        problems = [str(problem) for problem in result.error]
-        _LOG.error("settings not adopted", extra={"problems": problems})
-        return
-    read = result.ok
-    logging.getLogger().setLevel(read.log_level.upper())
-    _LOG.info("settings read again", extra={"is_changed": read != settings})
+    watching.cancel()
--- a/src/hibiscushaven/platform/tests/test_gateway.py
+++ b/src/hibiscushaven/platform/tests/test_gateway.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import socket
+from dataclasses import replace
 
 import aiohttp
 import pytest
 
+from hibiscushaven.forwarding import BudgetOptions
 from hibiscushaven.gateway import GatewayDaemon, GatewayOptions
 from hibiscushaven.gateway import daemon as daemon_module
 from hibiscushaven.ini.fields import Endpoint
@@ -13,7 +15,7 @@
 from hibiscushaven.platform.store import StoreClient
 from hibiscushaven.process import SystemClock
 
-from .backend_standin import BackendStandIn, answer, header
+from .backend_standin import BackendStandIn, answer, broken, header
 from .samples import configuration_row, server_row
 from .store_standin import StoreStandIn
 
@@ -184,3 +186,27 @@
         await deployment.daemon.stop()
 
     run(scenario)
+
+
+def test_changed_options_are_adopted_without_a_restart():
+    async def scenario(deployment):
+        budget = BudgetOptions(window_s=5.0, ratio=0.0, fixed=0.0)
+        changed = replace(deployment.options, answer_ttl_s=1.0, budget=budget, region="vale")
+        deployment.daemon.adopt(changed)
+        query = "/v1/resolve?Name=a.example&Region=serra&Zone=serra-a"
+        _, _, body = await deployment.get(deployment.options.directory_at, query)
+        assert '"Ttl":"1000ms"' in body
+        assert (await deployment.request())[0] == 502
+        assert len(deployment.backend.requests) == 1
+        await deployment.daemon.stop()
+
+    run(scenario, broken, answer())
+
+
+def test_callers_are_held_to_the_limits_of_the_configuration():
+    async def scenario(deployment):
+        assert (await deployment.request(Long="x" * 20_000))[0] == 431
+        assert deployment.backend.requests == []
+        await deployment.daemon.stop()
+
+    run(scenario)
--- a/src/hibiscushaven/process/__init__.py
+++ b/src/hibiscushaven/process/__init__.py
@@ -1,7 +1,8 @@
 """What every daemon needs of its process: clocks, signals and HTTP servers."""
 
+from .caller_protocol import ConnectionLimits
 from .clock import Clock, SystemClock
 from .server import HttpServer
 from .signals import on_stop
 
-__all__ = ["Clock", "HttpServer", "SystemClock", "on_stop"]
+__all__ = ["Clock", "ConnectionLimits", "HttpServer", "SystemClock", "on_stop"]
--- a/src/hibiscushaven/process/server.py
+++ b/src/hibiscushaven/process/server.py
@@ -4,12 +4,16 @@
 import contextlib
 import os
 import socket
+from collections.abc import Callable
+from functools import partial
 
 import uvicorn
 from starlette.types import ASGIApp
 
 from hibiscushaven.ini.fields import Endpoint
 
+from .caller_protocol import CallerProtocol, ConnectionLimits
+
 __all__ = ["HttpServer"]
 
 _BACKLOG = 2048
@@ -41,11 +45,19 @@
 
     :param keep_alive_s: time that an idle connection of a caller is kept.
     :param has_date: whether answers without a ``Date`` header get one.
+    :param limits: limits of each connection, if they may change while the server runs.
     """
 
     def __init__(
-        self, app: ASGIApp, host: str, port: int, keep_alive_s: int = 15, has_date: bool = True
+        self,
+        app: ASGIApp,
+        host: str,
+        port: int,
+        keep_alive_s: int = 15,
+        has_date: bool = True,
+        limits: Callable[[], ConnectionLimits] | None = None,
     ) -> None:
+        protocol = "httptools" if limits is None else partial(CallerProtocol, limits=limits)
         config = uvicorn.Config(
             app,
             host=host,
@@ -54,7 +66,7 @@
             access_log=False,
             lifespan="off",
             loop="asyncio",
-            http="httptools",
+            http=protocol,
             ws="none",
             timeout_keep_alive=keep_alive_s,
             server_header=False,
