Test early answers to long bodies and a time of day that jumps

Both hold already: the client closes a connection whose body it has not sent whole, and nothing in the gateway asks for the time of day.

--- a/src/hibiscushaven/platform/tests/backend_standin.py
+++ b/src/hibiscushaven/platform/tests/backend_standin.py
@@ -97,6 +97,39 @@
         raise ConnectionResetError
 
 
+class EarlyBackend:
+    """Answers once it has the head of a request, and reads the body later.
+
+    :ivar received: bytes that arrived on each connection.
+    :ivar may_read: set when it may read on after an early answer.
+    """
+
+    def __init__(self):
+        self.received = []
+        self.may_read = asyncio.Event()
+        self._server = None
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return self._server.sockets[0].getsockname()[1]
+
+    async def close(self):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        number = len(self.received)
+        self.received.append(b"")
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            head = await reader.readuntil(b"\r\n\r\n")
+            self.received[number] += head
+            await answer(b"early")(head.decode(), writer)
+            if number == 0:
+                await self.may_read.wait()
+            while data := await reader.read(65536):
+                self.received[number] += data
+        writer.close()
+
+
 async def broken(head, writer):
     """Close the connection without an answer."""
     writer.close()
--- a/src/hibiscushaven/platform/tests/test_backends.py
+++ b/src/hibiscushaven/platform/tests/test_backends.py
@@ -8,7 +8,15 @@
 from hibiscushaven.ini.fields import Endpoint
 from hibiscushaven.platform.dialects import PlatformBackends
 
-from .backend_standin import BackendStandIn, Unframed, answer, broken, header, silent
+from .backend_standin import (
+    BackendStandIn,
+    EarlyBackend,
+    Unframed,
+    answer,
+    broken,
+    header,
+    silent,
+)
 
 
 def attempt_all(scripts, count=1, timeout_s=5.0, **fields):
@@ -162,3 +170,28 @@
         await stand_in.close()
 
     asyncio.run(main())
+
+
+def test_rest_of_a_body_is_followed_by_nothing_else():
+    """A server that answered early must not take the next request for the rest of the body."""
+    body = b"b" * 8_000_000
+
+    async def main():
+        backend = EarlyBackend()
+        port = await backend.start()
+        client = BackendClient(dialect=PlatformBackends())
+        deadline = asyncio.get_running_loop().time() + 30
+        at = Endpoint("127.0.0.1", port)
+        first = await client.attempt(AttemptRequest(at, "POST", "/", "id-1", deadline, body=body))
+        assert await first.read(100) == b"early"
+        second = await client.attempt(AttemptRequest(at, "GET", "/", "id-2", deadline))
+        assert await second.read(100) == b"early"
+        backend.may_read.set()
+        await client.close()
+        await backend.close()
+        return backend.received
+
+    received = asyncio.run(main())
+    assert len(received) == 2 and received[1].startswith(b"GET / ")
+    head, _, rest = received[0].partition(b"\r\n\r\n")
+    assert head.startswith(b"POST / ") and body.startswith(rest)
--- a/src/hibiscushaven/platform/tests/test_gateway.py
+++ b/src/hibiscushaven/platform/tests/test_gateway.py
@@ -30,7 +30,8 @@
 class Deployment:
     """One gateway with its surroundings."""
 
-    def __init__(self, *scripts):
+    def __init__(self, *scripts, clock=None):
+        self.clock = clock or SystemClock()
         self.store = StoreStandIn()
         self.backend = BackendStandIn(*scripts)
         self.options = None
@@ -59,7 +60,7 @@
             backends,
             backends,
             PlatformDirectory(),
-            SystemClock(),
+            self.clock,
         )
         await self.daemon.start()
         self.session = aiohttp.ClientSession()
@@ -87,9 +88,9 @@
     monkeypatch.setattr(daemon_module, "QUIET_S", 0.0)
 
 
-def run(scenario, *scripts):
+def run(scenario, *scripts, **options):
     async def main():
-        async with asyncio.timeout(TIME_LIMIT_S), Deployment(*scripts) as deployment:
+        async with asyncio.timeout(TIME_LIMIT_S), Deployment(*scripts, **options) as deployment:
             await scenario(deployment)
 
     asyncio.run(main())
@@ -210,3 +211,18 @@
         await deployment.daemon.stop()
 
     run(scenario)
+
+
+def test_time_of_day_decides_nothing():
+    class Jumping(SystemClock):
+        def unix(self):
+            raise AssertionError("the time of day may jump")
+
+    async def scenario(deployment):
+        assert (await deployment.request())[0] == 200
+        deployment.store.put("op", "config", configuration_row(8))
+        while deployment.daemon.node.operator.configuration.version < 8:
+            await asyncio.sleep(0)
+        await deployment.daemon.stop()
+
+    run(scenario, answer(), clock=Jumping())
