Let one VM sum up a large region for the others

Cause: all VMs of a region told each other all changes.

Ruled out: only pacing the states more slowly, which keeps the square; a fixed hierarchy, which needs a second way when its head dies.

Change: with more than 16 other VMs in a region the one with the most processor sends their sums to all, and VMs tell only it what they have in progress. A digest names the state of each VM that it contains, so that a VM takes its own part out and the others count as up. A VM that does not hear the lead for 0.3 s tells all again, and those answer it. Regions tell each other through their leads. Small regions go on as before. States now come each 0.3 s at most: an interval could stretch to 0.4 s, so that two lost datagrams made a VM silent.

--- a/src/hibiscushaven/fleet/messages.py
+++ b/src/hibiscushaven/fleet/messages.py
@@ -9,7 +9,7 @@
 
 __all__ = ["MessageError", "RegionDigest", "VmState", "decode", "encode", "token_of"]
 
-_FORMAT = 1
+_FORMAT = 2
 
 
 class MessageError(Exception):
@@ -28,6 +28,8 @@
     :ivar incarnation: drawn at each start; with ``sequence``, orders the states of a VM.
     :ivar callers_at: address for callers, ``ip:port``.
     :ivar peers_at: address for other VMs, ``ip:port``.
+    :ivar capacity: processor of the machine, in cores of usual speed.
+    :ivar hears_lead: whether the lead of its region tells it what is in progress.
     :ivar can_read: whether its last call of the platform's store succeeded.
     :ivar operator_version: version of the operator's state that it holds.
     :ivar operator_age_s: time since that was confirmed by a read, by any VM.
@@ -48,6 +50,8 @@
     peers_at: str
     is_ready: bool = False
     is_leaving: bool = False
+    capacity: float = 1.0
+    hears_lead: bool = False
     can_read: bool = True
     operator_version: int = 0
     operator_age_s: float = 1e6
@@ -61,7 +65,17 @@
 
 @dataclass(frozen=True, slots=True)
 class RegionDigest:
-    """What the VMs of one region have in progress, summed by one of them."""
+    """What the VMs of one region have in progress, summed by one of them.
+
+    The fields after ``arrivals`` are for large regions, whose VMs tell only the sender.
+
+    :ivar sequences: latest state of each VM that the sums contain, by token of its name.
+    :ivar peers_at: address of the sender for other VMs.
+    :ivar operator_version: version of the operator's state that the sender holds; like the
+        next three, as in ``VmState``.
+    :ivar lost: as in ``VmState``, for all VMs that the sender hears.
+    :ivar slowness: as ``lost``.
+    """
 
     region: str
     sender: str
@@ -69,6 +83,14 @@
     sequence: int
     in_progress: Mapping[int, int] = field(default_factory=dict)
     arrivals: Mapping[int, float] = field(default_factory=dict)
+    sequences: Mapping[int, int] = field(default_factory=dict)
+    peers_at: str = ""
+    operator_version: int = 0
+    operator_age_s: float = 1e6
+    servers_version: int = 0
+    servers_age_s: float = 1e6
+    lost: Mapping[int, float] = field(default_factory=dict)
+    slowness: Mapping[int, Sequence[float]] = field(default_factory=dict)
 
 
 _TYPES: tuple[type, ...] = (VmState, RegionDigest)
@@ -109,7 +131,7 @@
         value = getattr(message, item.name)
         if not isinstance(value, _allowed_types(_type_name(item.type))):
             raise MessageError(f"{item.name} {value!r} is no {item.type}")
-    for name in ("in_progress", "lost", "arrivals"):
+    for name in ("in_progress", "lost", "arrivals", "sequences"):
         amounts = getattr(message, name, {})
         for token, amount in amounts.items():
             if not (isinstance(token, int) and isinstance(amount, int | float)):
--- a/src/hibiscushaven/fleet/view.py
+++ b/src/hibiscushaven/fleet/view.py
@@ -1,22 +1,41 @@
 """What one VM knows of the others."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from .messages import RegionDigest, VmState, token_of
+from .sums import ToldSums
 
-__all__ = ["FAR_SILENCE_S", "SILENCE_S", "FleetView"]
+__all__ = ["DIRECT_VMS", "FAR_SILENCE_S", "SILENCE_S", "FleetView"]
 
 # Silence after which a VM of the own region counts as gone: states come each 0.2 s at least,
 # so that three in a row must be lost.
 SILENCE_S = 0.7
 
+# The same where the lead tells who is up: a VM is silent after four digests, each based on a
+# state that is 0.2 s old, were lost, and after the VMs have had time to do without the lead.
+TOLD_SILENCE_S = 1.2
+
+# States of VMs that do not hear the lead count for so long; they send each 0.2 s.
+UNTOLD_LIFE_S = 0.5
+
 # The same for VMs of other regions, whose states come each second.
 FAR_SILENCE_S = 3.0
 
 # Age after which the digest of a region says nothing; digests come each 0.15 s.
 DIGEST_LIFE_S = 1.0
 
+# Other VMs of a region up to which all tell each other directly. With more of them, messages
+# would grow with their square; one VM sums up for all then.
+DIRECT_VMS = 16
+
+# Time after which a VM that has become the lead has heard all others, which send each 0.2 s.
+LEAD_SETTLE_S = 0.3
+
+# VMs of a large region that get the digests of another one; whichever leads there passes them
+# on. Two, since VMs may disagree on who leads for a moment.
+FAR_LISTENERS = 2
+
 # VMs that were silent for so long are forgotten; until then they are still sent to, since
 # a partition may have hidden them.
 FORGET_S = 120.0
@@ -26,6 +45,8 @@
 class _Peer:
     state: VmState
     heard_at: float
+    state_at: float
+    told_sequence: int = -1
 
 
 class FleetView:
@@ -37,17 +58,29 @@
     Everything here is a snapshot that the next message replaces, so that lost, repeated and
     reordered datagrams do no lasting harm.
 
+    In a small region all VMs send their states to each other. In a large one they send them to
+    the lead, the VM with the most processor, which tells all others the sums. Which of the two
+    holds follows from whether the lead is heard: when it falls silent, VMs send to all again,
+    until they hear the next one.
+
     :param name: name of this VM.
+    :param capacity: its processor, in cores of usual speed.
     """
 
-    def __init__(self, name: str, region: str, failure_domain: str) -> None:
+    def __init__(self, name: str, region: str, failure_domain: str, capacity: float = 1.0) -> None:
         self.name = name
         self.region = region
         self.failure_domain = failure_domain
+        self.capacity = capacity
+        self.is_leaving = False
+        self.told = ToldSums(name)
+        self._lead_since: float | None = None
         self._peers: dict[str, _Peer] = {}
         self._digests: dict[str, tuple[RegionDigest, float]] = {}
-        # Sums of the requests in progress by token, kept up to date with each message.
-        self._in_progress: dict[int, int] = {}
+        # Sums of the requests in progress by token, kept up to date with each message: of the
+        # own region as its VMs tell them directly, and of the other regions.
+        self._near: dict[int, int] = {}
+        self._far: dict[int, int] = {}
         self._slowness: dict[int, tuple[float, float]] = {}
 
     @property
@@ -65,35 +98,68 @@
         was_up = peer is not None and self._is_up(now, peer)
         if peer is not None:
             self._count(peer.state, -1)
-        self._peers[state.name] = _Peer(state, now)
+        self._peers[state.name] = _Peer(state, now, now)
         self._count(state, 1)
-        for token, (percent, age_s) in state.slowness.items():
+        self._note_slowness(now, state.slowness)
+        return not was_up
+
+    def on_digest(self, now: float, digest: RegionDigest) -> bool:
+        """Take a digest; return whether it was used."""
+        is_used = (
+            self._on_near_digest(now, digest)
+            if digest.region == self.region
+            else self._on_far_digest(now, digest)
+        )
+        if is_used:
+            self._hear_of(now, digest)
+        return is_used
+
+    def _on_near_digest(self, now: float, digest: RegionDigest) -> bool:
+        if digest.sender != self.lead(now).name:
+            return False
+        latest = self.told.digest
+        if latest is not None and _is_repeated(digest, latest):
+            return False
+        if not self.told.take(now, digest):
+            return False
+        self._note_slowness(now, digest.slowness)
+        return True
+
+    def _hear_of(self, now: float, digest: RegionDigest) -> None:
+        """Count the VMs whose newer states a digest contains as heard."""
+        for name, peer in self._peers.items():
+            if name == digest.sender:
+                peer.heard_at = now
+                continue
+            sequence = digest.sequences.get(token_of(name))
+            if sequence is not None and sequence != peer.told_sequence:
+                peer.told_sequence = sequence
+                peer.heard_at = now
+
+    def _note_slowness(self, now: float, reports: Mapping[int, Sequence[float]]) -> None:
+        for token, (percent, age_s) in reports.items():
             if now - age_s > self._slowness.get(token, (0.0, float("-inf")))[1]:
                 self._slowness[token] = percent / 100, now - age_s
-        return not was_up
 
-    def on_digest(self, now: float, digest: RegionDigest) -> None:
-        """Take a digest of another region."""
-        if digest.region == self.region:
-            return
+    def _on_far_digest(self, now: float, digest: RegionDigest) -> bool:
         known = self._digests.get(digest.region)
-        if known is not None and known[0].sender == digest.sender:
-            is_old = (digest.incarnation, digest.sequence) == (
-                known[0].incarnation,
-                known[0].sequence,
-            ) or (
-                digest.incarnation == known[0].incarnation and digest.sequence < known[0].sequence
-            )
-            if is_old:
-                return
+        if known is not None and _is_repeated(digest, known[0]):
+            return False
         if known is not None:
-            self._add(known[0].in_progress, -1)
+            _add(self._far, known[0].in_progress, -1)
         self._digests[digest.region] = digest, now
-        self._add(digest.in_progress, 1)
+        _add(self._far, digest.in_progress, 1)
+        return True
 
     def expire(self, now: float) -> list[str]:
         """Drop the loads of silent VMs and regions; return the VMs that went silent."""
         silent = []
+        if not self.told.is_fresh(now):
+            self.told.drop()
+        if self.lead(now) is not self:
+            self._lead_since = None
+        elif self._lead_since is None:
+            self._lead_since = now
         for name, peer in list(self._peers.items()):
             if now - peer.heard_at > FORGET_S:
                 del self._peers[name]
@@ -106,13 +172,16 @@
                 del self._slowness[token]
         for region, (digest, at) in list(self._digests.items()):
             if now - at > DIGEST_LIFE_S:
-                self._add(digest.in_progress, -1)
+                _add(self._far, digest.in_progress, -1)
                 del self._digests[region]
         return silent
 
     def in_progress(self, token: int) -> int:
         """Return the requests in progress of all other VMs on a backend server."""
-        return self._in_progress.get(token, 0)
+        far = self._far.get(token, 0)
+        if self.told.digest is not None:
+            return far + self.told.in_progress(token)
+        return far + self._near.get(token, 0)
 
     def slowness(self, token: int) -> tuple[float, float]:
         """Return the latest slowness of a backend server that others tell, and its time."""
@@ -153,12 +222,67 @@
         )
         return sum(other < own for other in others)
 
+    def lead(self, now: float) -> "VmState | FleetView":
+        """Return the VM that sums up the region: its state, or this view for this VM."""
+        staying = [state for state in self.near(now) if not state.is_leaving]
+        candidates: list[VmState | FleetView] = [*staying, *([] if self.is_leaving else [self])]
+        return min(candidates, key=_lead_order, default=self)
+
     def is_lead(self, now: float) -> bool:
         """Return whether this VM sums up its region for the others."""
-        return all(
-            token_of(state.name) > token_of(self.name) or state.is_leaving
-            for state in self.near(now)
-        )
+        return self.lead(now) is self
+
+    def is_summing(self, now: float) -> bool:
+        """Return whether this VM should tell its large region the sums."""
+        has_heard_all = self._lead_since is not None and now - self._lead_since >= LEAD_SETTLE_S
+        return has_heard_all and self.near_count > DIRECT_VMS and self.is_lead(now)
+
+    def listeners(self, now: float) -> list[VmState]:
+        """Return the VMs of the region that should get this VM's state when it changes."""
+        if self.is_summing(now):
+            return []
+        lead = self.lead(now)
+        near = [peer for peer in self._peers.values() if peer.state.region == self.region]
+        if not self.told.is_fresh(now) or lead is self:
+            return [peer.state for peer in near]
+        return [
+            peer.state
+            for peer in near
+            if peer.state is lead
+            or (not peer.state.hears_lead and now - peer.state_at <= UNTOLD_LIFE_S)
+        ]
+
+    def far_listeners(self, now: float) -> list[VmState]:
+        """Return the VMs of other regions that should get the digest of this one."""
+        far = [state for state in self.up(now) if state.region != self.region]
+        if self.near_count <= DIRECT_VMS:
+            return far
+        by_region: dict[str, list[VmState]] = {}
+        for state in sorted(far, key=_lead_order):
+            by_region.setdefault(state.region, []).append(state)
+        return [state for states in by_region.values() for state in states[:FAR_LISTENERS]]
+
+    def sequences(self, now: float) -> dict[int, int]:
+        """Return the latest state of each VM of the region that is up, by token."""
+        return {token_of(state.name): state.sequence for state in self.near(now)}
+
+    def reports(self, now: float) -> dict[int, tuple[float, float]]:
+        """Return the latest slowness that others tell, in percent, with its age."""
+        return {
+            token: (round(100 * slowness), round(now - at, 3))
+            for token, (slowness, at) in self._slowness.items()
+        }
+
+    def lost(self, now: float, within_s: float) -> dict[int, float]:
+        """Return the seconds since VMs of the region lost backend servers of late, by token."""
+        found: dict[int, float] = {}
+        for peer in self._peers.values():
+            if peer.state.region == self.region:
+                for token, age_s in peer.state.lost.items():
+                    age_s += now - peer.state_at
+                    if age_s < within_s:
+                        found[token] = min(age_s, found.get(token, age_s))
+        return found
 
     def keepers(self, now: float, key: str, count: int) -> list[str]:
         """Return the VMs of the own region that are responsible for a key, by hash."""
@@ -168,6 +292,8 @@
 
     def arrivals(self, now: float, own: dict[int, float]) -> dict[int, float]:
         """Return the requests a second of the own region by token of the service."""
+        if self.told.digest is not None:
+            return dict(self.told.digest.arrivals)
         sums = dict(own)
         for state in self.near(now):
             for token, rate in state.arrivals.items():
@@ -187,21 +313,35 @@
         return sums
 
     def _is_up(self, now: float, peer: _Peer) -> bool:
-        limit = SILENCE_S if peer.state.region == self.region else FAR_SILENCE_S
+        limit = FAR_SILENCE_S
+        if peer.state.region == self.region:
+            is_told = self.told.is_fresh(now, TOLD_SILENCE_S)
+            limit = TOLD_SILENCE_S if is_told else SILENCE_S
         return now - peer.heard_at <= limit
 
     def _count(self, state: VmState, sign: int) -> None:
         # What VMs of other regions have in progress comes in digests.
         if state.region == self.region:
-            self._add(state.in_progress, sign)
-
-    def _add(self, counts: dict[int, int], sign: int) -> None:
-        for token, count in counts.items():
-            total = self._in_progress.get(token, 0) + sign * count
-            if total:
-                self._in_progress[token] = total
-            else:
-                self._in_progress.pop(token, None)
+            _add(self._near, state.in_progress, sign)
+
+
+def _add(sums: dict[int, int], counts: Mapping[int, int], sign: int) -> None:
+    for token, count in counts.items():
+        total = sums.get(token, 0) + sign * count
+        if total:
+            sums[token] = total
+        else:
+            sums.pop(token, None)
+
+
+def _lead_order(vm: VmState | FleetView) -> tuple[float, int]:
+    return -vm.capacity, token_of(vm.name)
+
+
+def _is_repeated(digest: RegionDigest, known: RegionDigest) -> bool:
+    """Return whether a digest is not newer than one of the same sender."""
+    is_same_run = (digest.sender, digest.incarnation) == (known.sender, known.incarnation)
+    return is_same_run and digest.sequence <= known.sequence
 
 
 def _is_later(state: VmState, known: VmState) -> bool:
--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -3,7 +3,8 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from dataclasses import replace
 
 from hibiscushaven.discovery import KnownServer, Registry
 from hibiscushaven.fleet import (
@@ -35,12 +36,21 @@
 STATE_DELAY_S = 0.02
 STATE_DELAY_PER_VM_S = 0.0025
 
-# Longest time between two states to the VMs of the region.
+# Usual time between two states to the VMs of the region; at most half as much again.
 STATE_INTERVAL_S = 0.2
 
 # The same for VMs of other regions, which only need to know that this VM is up.
 FAR_STATE_INTERVAL_S = 1.0
 
+# The same for all VMs when the lead of a large region tells them that this VM is up; for those
+# that a message did not reach.
+TOLD_STATE_INTERVAL_S = 10.0
+
+# Time between two digests of a large region for its own VMs. It grows with the VMs, so that the
+# lead sends 500 datagrams a second at most.
+NEAR_DIGEST_LEAST_S = 0.04
+NEAR_DIGEST_PER_VM_S = 0.002
+
 # Time between two digests for the other regions.
 DIGEST_INTERVAL_S = 0.2
 
@@ -86,15 +96,18 @@
         self._addresses: frozenset[Endpoint] = frozenset()
         self.registry = Registry()
         self.loads = ServerLoads()
-        self.view = FleetView(options.name, options.region, options.failure_domain)
+        self.view = FleetView(
+            options.name, options.region, options.failure_domain, options.capacity
+        )
         self.picker = Picker(_picker_options(options), self.registry, self.view, self.loads)
         self._link = FleetLink(clock.now, self._on_message, self._give_news)
         self._reader = StoreReader(
-            store, clock, self._rank, self._on_listing, self._adopt_operator, self._send_state
+            store, clock, self._rank, self._on_listing, self._adopt_operator, self._tell_region
         )
         self._operator = OperatorState()
         self._incarnation = random.getrandbits(31)
         self._sequence = 0
+        self._digest_sequence = 0
         self._is_leaving = False
         self._is_sending_soon = False
         self._far_sent_at = -1e6
@@ -134,7 +147,9 @@
         """
         await self._link.start(self._options.peers_at)
         self._reader.start()
-        self._tasks = [asyncio.create_task(loop) for loop in (self._join(), self._tick())]
+        self._tasks = [
+            asyncio.create_task(loop) for loop in (self._join(), self._tick(), self._sum_up())
+        ]
 
     def adopt(self, options: GatewayOptions) -> None:
         """Use changed options that need no restart."""
@@ -144,6 +159,7 @@
     def leave(self) -> None:
         """Tell the others at once that this VM takes no new callers."""
         self._is_leaving = True
+        self.view.is_leaving = True
         self._send_state(is_far=True)
 
     async def close(self) -> None:
@@ -167,7 +183,9 @@
         if self._is_sending_soon:
             return
         self._is_sending_soon = True
-        delay_s = max(STATE_DELAY_S, STATE_DELAY_PER_VM_S * self.view.near_count)
+        delay_s = STATE_DELAY_S
+        if not self.view.told.is_fresh(self._clock.now()):
+            delay_s = max(delay_s, STATE_DELAY_PER_VM_S * self.view.near_count)
         asyncio.get_running_loop().call_later(delay_s, self._send_state)
 
     async def _join(self) -> None:
@@ -193,19 +211,28 @@
     def _on_message(self, message: VmState | RegionDigest) -> None:
         now = self._clock.now()
         if isinstance(message, RegionDigest):
-            self.view.on_digest(now, message)
+            self._on_digest(now, message)
             return
         if message.name == self._options.name:
             return
         if self.view.on_state(now, message):
             _LOG.info("VM is up", extra={"vm": message.name, "region": message.region})
             self._link.send(encode(self._state()), message.peers_at)
-        self._note_lost(now, message)
+        self._note_lost(now, message.lost)
         if message.region == self._options.region:
-            self._compare(now, message)
+            self._compare(now, message.name, message)
 
-    def _compare(self, now: float, state: VmState) -> None:
-        """Confirm what is known here by a peer's state, or ask the peer for what is newer."""
+    def _on_digest(self, now: float, digest: RegionDigest) -> None:
+        if not self.view.on_digest(now, digest):
+            return
+        if digest.region == self._options.region:
+            self._note_lost(now, digest.lost)
+            self._compare(now, digest.sender, digest)
+        elif self.view.is_summing(now):
+            self._send_near(encode(digest))
+
+    def _compare(self, now: float, name: str, state: VmState | RegionDigest) -> None:
+        """Confirm what is known here by what a peer holds, or ask it for what is newer."""
         if state.operator_version == self._operator.version:
             self._reader.confirm_operator(now - state.operator_age_s)
         if state.servers_version == self.registry.version:
@@ -215,24 +242,24 @@
             or state.servers_version > self.registry.version
         )
         if is_newer and (self._pulling is None or self._pulling.done()):
-            self._pulling = asyncio.create_task(self._pull(state))
+            self._pulling = asyncio.create_task(self._pull(name, state.peers_at))
 
-    async def _pull(self, state: VmState) -> None:
+    async def _pull(self, name: str, peers_at: str) -> None:
         try:
             news = await self._link.pull(
-                state.peers_at, self._operator.version, self.registry.version, PULL_TIMEOUT_S
+                peers_at, self._operator.version, self.registry.version, PULL_TIMEOUT_S
             )
         except (OSError, MessageError, TimeoutError) as error:
-            _LOG.warning("no news from VM", extra={"vm": state.name, "why": repr(error)})
+            _LOG.warning("no news from VM", extra={"vm": name, "why": repr(error)})
             self._reader.read_now()
             return
         now = self._clock.now()
         if news.operator is not None:
-            self._adopt_operator(news.operator, state.name)
+            self._adopt_operator(news.operator, name)
         if news.servers is not None and self.registry.adopt(
             now, news.servers_version, news.servers
         ):
-            self._on_servers(state.name)
+            self._on_servers(name)
 
     def _give_news(self, operator_version: int, servers_version: int) -> News:
         has_operator = self._operator.version > operator_version
@@ -243,12 +270,12 @@
             dict(self.registry.servers) if has_servers else None,
         )
 
-    def _note_lost(self, now: float, state: VmState) -> None:
+    def _note_lost(self, now: float, lost: Mapping[int, float]) -> None:
         """Count servers that another VM cannot reach as cold once they are back."""
-        if not state.lost:
+        if not lost:
             return
         for server_id, server in list(self.registry.servers.items()):
-            age_s = state.lost.get(token_of(server_id))
+            age_s = lost.get(token_of(server_id))
             if age_s is not None:
                 self._presume_cold(now - age_s, server_id, server)
 
@@ -262,6 +289,8 @@
     def _state(self) -> VmState:
         now = self._clock.now()
         self._sequence += 1
+        in_progress = self._own_in_progress()
+        self.view.told.note_sent(self._sequence, in_progress)
         return VmState(
             name=self._options.name,
             incarnation=self._incarnation,
@@ -272,47 +301,98 @@
             peers_at=str(self._options.peers_at),
             is_ready=self.is_ready,
             is_leaving=self._is_leaving,
+            capacity=self._options.capacity,
+            hears_lead=self.view.told.is_fresh(now) or self.view.is_summing(now),
             can_read=self._reader.can_read,
             operator_version=self._operator.version,
             operator_age_s=now - self._reader.operator_confirmed_at,
             servers_version=self.registry.version,
             servers_age_s=now - self._reader.servers_confirmed_at,
-            in_progress=self._own_in_progress(),
-            lost={token_of(name): age for name, age in self.loads.lost(now, LOSS_NEWS_S).items()},
+            in_progress=in_progress,
+            lost=self._own_lost(now),
             arrivals={token_of(name): rate for name, rate in self._arrivals.items()},
-            slowness={
-                token_of(name): (round(100 * slowness), round(age_s, 3))
-                for name, (slowness, age_s) in self.loads.reports(now).items()
-            },
+            slowness=self._own_reports(now),
         )
 
+    def _own_lost(self, now: float) -> dict[int, float]:
+        return {token_of(name): age for name, age in self.loads.lost(now, LOSS_NEWS_S).items()}
+
+    def _own_reports(self, now: float) -> dict[int, tuple[float, float]]:
+        return {
+            token_of(name): (round(100 * slowness), round(age_s, 3))
+            for name, (slowness, age_s) in self.loads.reports(now).items()
+        }
+
     def _own_in_progress(self) -> dict[int, int]:
         return {token_of(name): count for name, count in self.loads.busy().items()}
 
     def _send_state(self, is_far: bool = False) -> None:
         self._is_sending_soon = False
         now = self._clock.now()
-        datagram = encode(self._state())
+        listeners = self.view.known() if is_far else self.view.listeners(now)
         self._near_sent_at = now
         if is_far:
             self._far_sent_at = now
+        if not listeners:
+            return
+        datagram = encode(self._state())
+        for listener in listeners:
+            self._link.send(datagram, listener.peers_at)
+
+    def _tell_region(self) -> None:
+        """Tell all VMs of the region at once, also those that usually hear the lead."""
+        self._send_near(encode(self._state()))
+
+    def _send_near(self, datagram: bytes) -> None:
         for state in self.view.known():
-            if is_far or state.region == self._options.region:
+            if state.region == self._options.region:
                 self._link.send(datagram, state.peers_at)
 
-    def _send_digest(self, now: float) -> None:
-        digest = RegionDigest(
+    def _digest(self, now: float) -> RegionDigest:
+        self._digest_sequence += 1
+        return RegionDigest(
             self._options.region,
             self._options.name,
             self._incarnation,
-            self._sequence,
+            self._digest_sequence,
             self.view.near_in_progress(now, self._own_in_progress()),
             self.view.arrivals(now, self._own_arrivals()),
         )
+
+    def _near_digest(self, now: float) -> RegionDigest:
+        """Return the digest for the VMs of a large region, which hear only this VM."""
+        lost, own_lost = self.view.lost(now, LOSS_NEWS_S), self._own_lost(now)
+        return replace(
+            self._digest(now),
+            sequences=self.view.sequences(now),
+            peers_at=str(self._options.peers_at),
+            operator_version=self._operator.version,
+            operator_age_s=now - self._reader.operator_confirmed_at,
+            servers_version=self.registry.version,
+            servers_age_s=now - self._reader.servers_confirmed_at,
+            lost={**lost, **own_lost},
+            slowness={**self.view.reports(now), **self._own_reports(now)},
+        )
+
+    def _send_far_digest(self, now: float) -> None:
+        listeners = self.view.far_listeners(now)
+        digest = self._digest(now)
+        if self.view.is_summing(now):
+            digest = replace(digest, sequences=self.view.sequences(now))
         datagram = encode(digest)
-        for state in self.view.up(now):
-            if state.region != self._options.region:
-                self._link.send(datagram, state.peers_at)
+        for state in listeners:
+            self._link.send(datagram, state.peers_at)
+
+    async def _sum_up(self) -> None:
+        """Tell the VMs of a large region what is in progress, while this VM leads it."""
+        while True:
+            per_vm_s = NEAR_DIGEST_PER_VM_S * self.view.near_count
+            await asyncio.sleep(max(NEAR_DIGEST_LEAST_S, per_vm_s))
+            self._send_near_digest(self._clock.now())
+
+    def _send_near_digest(self, now: float) -> None:
+        if self.view.is_summing(now):
+            self._send_near(encode(self._near_digest(now)))
 
     def _own_arrivals(self) -> dict[int, float]:
         return {token_of(name): rate for name, rate in self._arrivals.items()}
@@ -320,19 +400,25 @@
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(DIGEST_INTERVAL_S)
-            now = self._clock.now()
-            for name in self.view.expire(now):
-                _LOG.info("VM went silent", extra={"vm": name})
-            if self.registry.expire(now):
-                self._on_servers("expiry")
-            self._note_own_lost(now)
-            self._measure_arrivals(now)
-            self.picker.move_shares(now, self._own_arrivals())
-            is_far = now - self._far_sent_at >= FAR_STATE_INTERVAL_S
-            if is_far or now - self._near_sent_at >= STATE_INTERVAL_S:
-                self._send_state(is_far)
-            if self.view.is_lead(now):
-                self._send_digest(now)
+            self._step(self._clock.now())
+
+    def _step(self, now: float) -> None:
+        """Drop what is old, follow the load and tell others that this VM is up."""
+        for name in self.view.expire(now):
+            _LOG.info("VM went silent", extra={"vm": name})
+        if self.registry.expire(now):
+            self._on_servers("expiry")
+        self._note_own_lost(now)
+        self._measure_arrivals(now)
+        self.picker.move_shares(now, self._own_arrivals())
+        is_told = self.view.told.is_fresh(now) or self.view.is_summing(now)
+        far_interval_s = TOLD_STATE_INTERVAL_S if is_told else FAR_STATE_INTERVAL_S
+        is_far = now - self._far_sent_at >= far_interval_s
+        # The next step comes a whole interval later.
+        if is_far or now - self._near_sent_at >= STATE_INTERVAL_S / 2:
+            self._send_state(is_far)
+        if self.view.is_lead(now):
+            self._send_far_digest(now)
 
     def _note_own_lost(self, now: float) -> None:
         for server_id, age_s in self.loads.lost(now, LOSS_NEWS_S).items():
--- a/src/hibiscushaven/gateway/options.py
+++ b/src/hibiscushaven/gateway/options.py
@@ -14,6 +14,7 @@
     """Addresses of one VM, its place, and the bounds of the deployment.
 
     :ivar regions: region by failure domain, for the whole deployment.
+    :ivar capacity: processor of the VM, in cores of usual speed.
     :ivar callers_at: address for callers.
     :ivar readiness_at: address of the readiness check.
     :ivar directory_at: address for callers that ask where to connect.
@@ -38,6 +39,7 @@
     status_at: Endpoint | None = None
     metrics_at: Endpoint | None = None
     seeds: tuple[str, ...] = ()
+    capacity: float = 1.0
     answer_ttl_s: float = 2.0
     grace_s: float = 6.0
     shift_cap: float = 0.15
--- a/src/hibiscushaven/gateway/reader.py
+++ b/src/hibiscushaven/gateway/reader.py
@@ -36,7 +36,8 @@
         one can read.
     :param on_listing: takes the backend servers and the time since the read before.
     :param on_operator: takes the operator's state and where it comes from.
-    :param on_loss: called when the store stops answering, so that the others take over.
+    :param on_turn: called when the store stops answering or answers again, so that the VMs rank
+        their readers anew.
     """
 
     def __init__(
@@ -46,14 +47,14 @@
         rank: Callable[[bool], int],
         on_listing: Callable[[ServerListing, float], None],
         on_operator: Callable[[OperatorState, str], None],
-        on_loss: Callable[[], None],
+        on_turn: Callable[[], None],
     ) -> None:
         self._store = store
         self._now = clock.now
         self._rank = rank
         self._on_listing = on_listing
         self._on_operator = on_operator
-        self._on_loss = on_loss
+        self._on_turn = on_turn
         self._turn = ReadingTurn()
         self._operator_confirmed_at = _NEVER
         self._servers_confirmed_at = _NEVER
@@ -149,11 +150,13 @@
         if self.can_read:
             _LOG.warning("store lost", extra={"table": what, "why": str(error)})
             self._turn.failed(self._now())
-            self._on_loss()
+            self._on_turn()
         elif what == "servers":
             self._turn.failed(self._now())
 
     def _on_success(self) -> None:
-        if not self.can_read:
-            _LOG.info("store regained", extra={"failures": self._turn.failures})
+        if self.can_read:
+            return
+        _LOG.info("store regained", extra={"failures": self._turn.failures})
         self._turn.succeeded()
+        self._on_turn()
--- a/src/hibiscushaven/gateway/settings.py
+++ b/src/hibiscushaven/gateway/settings.py
@@ -36,6 +36,8 @@
         Field("failure_domain", _NAME),
         Field("host", host()),
         Field("failure_domains", _PAIRS),
+        Field("cpu_share", number(0.001, 1000), 1.0, False),
+        Field("core_speed", number(0.001, 1000), 1.0, False),
     ),
     "listen": (
         Field("callers", endpoint()),
@@ -121,7 +123,7 @@
 
 
 def _settings(found: Mapping[str, Mapping[str, Any]]) -> GatewaySettings:
-    vm, listen = found["vm"], found["listen"]
+    vm, listen = _values(found, "vm"), found["listen"]
     bounds = _values(found, "bounds")
     log = _values(found, "log")
     peer_port, metrics_port = listen["peer_port"], listen["metrics_port"]
@@ -139,6 +141,7 @@
         metrics_at=Endpoint(vm["host"], metrics_port) if metrics_port else None,
         peers_at=Endpoint(vm["host"], peer_port),
         seeds=tuple(f"{seed.partition(':')[0]}:{peer_port}" for seed in seeds),
+        capacity=vm["cpu_share"] * vm["core_speed"],
         answer_ttl_s=bounds["answer_ttl"],
         grace_s=bounds["grace"],
         shift_cap=bounds["shift_cap"],
