Learn from the answers how many servers should know each object

Ruled out: another constant, since the services of the four sites keep between 10 and 48 objects and say so nowhere; estimating the objects of a region, which tells nothing of the servers.

Change: VMs count the answers about objects that servers should know, and those whose time shows that they did. The rates go with the arrivals; the part of the objects with a second server follows them. Work times begin with the objectives of the routes and follow the first answers, since with 50 answers to settle they lagged by 10 s where a VM serves six requests a second.

--- a/src/hibiscushaven/forwarding/forwarder.py
+++ b/src/hibiscushaven/forwarding/forwarder.py
@@ -24,6 +24,8 @@
     RetryBudget,
     ServerLoad,
     ServerLoads,
+    hit_rate_name,
+    known_rate_name,
 )
 from hibiscushaven.process import Clock
 from hibiscushaven.quarantine import CrashLedger, CrashSuspects
@@ -146,7 +148,7 @@
             budget.set_bounds(options.window_s, options.ratio, options.fixed)
 
     def take_arrivals(self) -> dict[str, int]:
-        """Return the requests by service since the last call."""
+        """Return the requests by service, and the answers about objects, since the last call."""
         arrivals, self._arrivals = self._arrivals, {}
         return arrivals
 
@@ -181,7 +183,7 @@
             limit_s = min(limit_s, request.time_left_s)
         is_return = self._returns.is_return(route.name, request.time_left_s)
         service = self._splits.choose(route)
-        self._arrivals[service] = self._arrivals.get(service, 0) + 1
+        self._count(service)
         self._budget_of(service).count_request(request.received_at)
         deadline = request.received_at + limit_s
         return Course(request, route, service, deadline, is_return)
@@ -327,8 +329,12 @@
         course.may_have_run = True
         load = self._loads.of(placement.server.record.server_id)
         is_failure = head.status >= 500
-        relative = self._measure(now, course, placement, waited_s) if not is_failure else None
-        load.on_answer(now, relative, is_failure, self._load_reader.load_of(head))
+        report = self._load_reader.load_of(head)
+        relative = None
+        if not is_failure:
+            relative = self._measure(now, course, placement, waited_s)
+            self._note_known(now, course, placement, waited_s, report)
+        load.on_answer(now, relative, is_failure, report)
         if head.status in PROMISES:
             # Callers take these for a promise that the request has not run, which the backend
             # server did not give.
@@ -368,6 +374,29 @@
             times.record(placement.is_known_object, waited_s)
         return relative
 
+    def _note_known(
+        self,
+        now: float,
+        course: Course,
+        placement: Placement,
+        waited_s: float,
+        report: LoadReport | None,
+    ) -> None:
+        """Count an answer about an object that its server should know."""
+        if not (placement.is_known_object and course.route.is_sticky and course.request.object_key):
+            return
+        has_queue = placement.busy >= placement.server.record.slots
+        if has_queue or self._picker.is_cold(now, placement.server):
+            return
+        slowness = max(1.0, report.slowness) if report is not None else 1.0
+        is_hit = self._picker.work_times(course.service).is_hit(waited_s / slowness)
+        self._count(known_rate_name(course.service, placement.region))
+        if is_hit:
+            self._count(hit_rate_name(course.service, placement.region))
+
+    def _count(self, name: str) -> None:
+        self._arrivals[name] = self._arrivals.get(name, 0) + 1
+
 
 async def _read(head: AttemptHead) -> tuple[bytes, AsyncIterator[bytes] | None]:
     """Return a body that is complete, or its beginning and the rest."""
--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -67,6 +67,9 @@
 # Weight of a new measurement of the arrivals, which is taken five times a second.
 ARRIVALS_SMOOTHING = 0.15
 
+# Rates below this one are not told.
+LEAST_ARRIVALS_PER_S = 0.01
+
 # Longest pause of a backend server that was lost, and for how long its loss is told.
 LOSS_NEWS_S = 2.0
 
@@ -434,6 +437,8 @@
             rate = counts.get(service, 0) / max(elapsed_s, DIGEST_INTERVAL_S / 2)
             known = self._arrivals.get(service, 0.0)
             self._arrivals[service] = known + ARRIVALS_SMOOTHING * (rate - known)
+            if self._arrivals[service] < LEAST_ARRIVALS_PER_S:
+                del self._arrivals[service]
 
     def _rank(self, can_read: bool) -> int:
         return self.view.rank(self._clock.now(), can_read)
--- a/src/hibiscushaven/placement/__init__.py
+++ b/src/hibiscushaven/placement/__init__.py
@@ -1,5 +1,6 @@
 """Decisions about where a request runs, without clock or network of their own."""
 
+from .affinity import hit_rate_name, known_rate_name
 from .budget import RetryBudget
 from .loads import LoadReport, ServerLoad, ServerLoads
 from .picker import Demand, NoRoom, Picker, PickerOptions, Placement
@@ -14,4 +15,6 @@
     "RetryBudget",
     "ServerLoad",
     "ServerLoads",
+    "hit_rate_name",
+    "known_rate_name",
 ]
--- a/src/hibiscushaven/placement/affinity.py
+++ b/src/hibiscushaven/placement/affinity.py
@@ -1,13 +1,12 @@
 """Order in which backend servers are tried for an object."""
 
-from collections import Counter, OrderedDict, deque
-from math import exp
+from collections import OrderedDict
 
 import xxhash
 
 from hibiscushaven.fleet import token_of as hash_of
 
-__all__ = ["ObjectOrder", "ObjectSample", "copies_of", "position_of"]
+__all__ = ["CopyLevel", "ObjectOrder", "hit_rate_name", "known_rate_name", "position_of"]
 
 # Orders that are kept; enough for all objects of today's services.
 ORDER_LIMIT = 4096
@@ -16,16 +15,16 @@
 # others idle; with three, servers know too many objects and forget them in between.
 MOST_COPIES = 2
 
-# Objects that a server is taken to keep between two requests for one of them.
-KEPT_OBJECTS = 20
+# Part of the answers about objects that servers should know from which on more of the objects
+# get a second server. Work varies, so that one in ten known objects looks unknown.
+HIT_TARGET = 0.8
 
-# Requests from which the number of objects is estimated, and their greatest age.
-SAMPLE_LIMIT = 400
-SAMPLE_S = 20.0
+# Change of the level in a second for each unit of the part above or below the target: a second
+# server for all objects takes some 5 s when all is known.
+LEVEL_GAIN_PER_S = 1.0
 
-# Estimate without enough repeated objects to tell.
-_MOST_OBJECTS = 1e6
-_LEAST_REPEATS = 4
+# Rate below which the answers say too little.
+LEAST_KNOWN_PER_S = 2.0
 
 _MAX_HASH = 2.0**32
 
@@ -78,66 +77,55 @@
         return found
 
 
-def copies_of(servers: int, objects: float) -> int:
-    """Return how many of so many servers should know each of so many objects.
+def known_rate_name(service: str, region: str) -> str:
+    """Return the name of the rate of answers about objects that servers should know."""
+    return f"{service}/{region}/known"
 
-    Examples
-    ========
 
-    >>> copies_of(10, 100), copies_of(4, 100), copies_of(10, 0)
-    (2, 1, 2)
+def hit_rate_name(service: str, region: str) -> str:
+    """Return the name of the rate of those answers whose time shows that they did."""
+    return f"{service}/{region}/hit"
 
-    """
-    if objects <= 0:
-        return MOST_COPIES
-    return max(1, min(MOST_COPIES, round(servers * KEPT_OBJECTS / objects)))
 
-
-class ObjectSample:
-    """Estimates how many objects there are from a part of the requests for them.
+class CopyLevel:
+    """How many servers of a region should know each object, learnt from their answers.
 
     Explanation
     ===========
 
-    Of ``n`` requests for ``m`` objects that are asked for alike, about ``m (1 - exp(-n / m))``
-    name different objects. What one VM sees is enough, so that VMs need not exchange objects.
-    With few requests the estimate is high, and each object is kept at one server.
+    Servers forget objects when they serve too many, and how many they keep is told nowhere. A
+    second server that knows an object helps while the first one is busy or slow, until servers
+    begin to forget. So the part of the objects with a second server grows while the servers
+    know what they should, and shrinks while they do not. The rates are those of the whole
+    deployment, so that all VMs come to about the same level.
+
+    Which objects have a second server follows from their position, the same at all VMs.
 
     Examples
     ========
 
-    >>> sample = ObjectSample()
-    >>> for number in range(200):
-    ...     sample.note(0.0, str(number * 7 % 20))
-    >>> round(sample.estimate())
-    20
+    >>> level = CopyLevel()
+    >>> level.move(0.0, known_per_s=50.0, hits_per_s=20.0)
+    >>> level.move(1.0, known_per_s=50.0, hits_per_s=20.0)
+    >>> round(level.level, 2), level.copies_at(0.1), level.copies_at(0.9)
+    (1.6, 2, 1)
 
     """
 
     def __init__(self) -> None:
-        self._requests: deque[tuple[float, str]] = deque()
-        self._counts: Counter[str] = Counter()
-
-    def note(self, now: float, key: str) -> None:
-        """Note a request for an object."""
-        self._requests.append((now, key))
-        self._counts[key] += 1
-        while self._requests[0][0] < now - SAMPLE_S or len(self._requests) > SAMPLE_LIMIT:
-            _, oldest = self._requests.popleft()
-            self._counts[oldest] -= 1
-            if not self._counts[oldest]:
-                del self._counts[oldest]
-
-    def estimate(self) -> float:
-        """Return the number of objects."""
-        requests, distinct = len(self._requests), len(self._counts)
-        low, high = float(distinct), _MOST_OBJECTS
-        if requests - distinct < _LEAST_REPEATS:
-            return high
-        while high - low > 0.01 * low:
-            middle = (low + high) / 2
-            if middle * (1.0 - exp(-requests / middle)) < distinct:
-                low = middle
-            else:
-                high = middle
-        return low
+        self.level = float(MOST_COPIES)
+        self._moved_at: float | None = None
+
+    def move(self, now: float, known_per_s: float, hits_per_s: float) -> None:
+        """Follow the rates of answers about objects that servers should know."""
+        elapsed_s = 0.0 if self._moved_at is None else now - self._moved_at
+        self._moved_at = now
+        if known_per_s < LEAST_KNOWN_PER_S:
+            return
+        surplus = hits_per_s / known_per_s - HIT_TARGET
+        level = self.level + LEVEL_GAIN_PER_S * surplus * elapsed_s
+        self.level = max(1.0, min(float(MOST_COPIES), level))
+
+    def copies_at(self, position: float) -> int:
+        """Return the servers that should know an object with a position from 0 to 1."""
+        return 1 + (position < self.level - 1.0)
--- a/src/hibiscushaven/placement/loads.py
+++ b/src/hibiscushaven/placement/loads.py
@@ -1,6 +1,7 @@
 """What a VM has seen of backend servers itself."""
 
 from dataclasses import dataclass, field
+from math import sqrt
 
 __all__ = ["LoadReport", "ServerLoad", "ServerLoads", "WorkTimes"]
 
@@ -10,6 +11,20 @@
 # The same for the work times of a service, of which a VM sees some each second.
 TIMES_SMOOTHING = 0.02
 
+# Objective of services without a route, and the work times that are expected as parts of an
+# objective before any were measured: objectives lie between the times with and without a known
+# object.
+DEFAULT_OBJECTIVE_S = 0.25
+KNOWN_PART = 0.4
+UNKNOWN_PART = 1.0
+MEAN_PART = 0.6
+
+# Answers that this expectation weighs as much as.
+PRIOR_RECORDS = 3
+
+# Work takes at least so many times longer than usual when a server does not know an object.
+LEAST_MISS_PART = 1.5
+
 # A server's report of how fast its machine is changes several times a second.
 REPORT_LIFE_S = 0.4
 
@@ -186,27 +201,49 @@
                 del self._loads[name]
 
 
-@dataclass(slots=True)
 class WorkTimes:
     """Moving means of the work times of a service, in seconds.
 
+    Explanation
+    ===========
+
+    Before the first answers, times are taken from the objective of the service's requests,
+    which is set so that most can meet it. The first answers weigh most.
+
     :ivar known_s: for objects that the backend server should know.
     :ivar unknown_s: for other objects.
     :ivar mean_s: for all.
+
+    Examples
+    ========
+
+    >>> times = WorkTimes(objective_s=1.0)
+    >>> times.is_hit(0.3), times.is_hit(1.0)
+    (True, False)
+
     """
 
-    # Short requests of today's services; measurements replace these within seconds.
-    known_s: float = 0.1
-    unknown_s: float = 0.25
-    mean_s: float = 0.15
+    def __init__(self, objective_s: float = DEFAULT_OBJECTIVE_S) -> None:
+        self.known_s = KNOWN_PART * objective_s
+        self.unknown_s = UNKNOWN_PART * objective_s
+        self.mean_s = MEAN_PART * objective_s
+        self._records = {True: 0, False: 0}
 
     def expected_s(self, is_known: bool) -> float:
         return self.known_s if is_known else self.unknown_s
 
+    def is_hit(self, seconds: float) -> bool:
+        """Return whether a work time shows that the server knew the object."""
+        return seconds < max(sqrt(self.known_s * self.unknown_s), LEAST_MISS_PART * self.known_s)
+
     def record(self, is_known: bool, seconds: float) -> None:
         """Note a work time that no queue is part of."""
+        count = self._records[is_known] = self._records[is_known] + 1
+        gain = max(TIMES_SMOOTHING, 1.0 / (count + PRIOR_RECORDS))
         if is_known:
-            self.known_s += TIMES_SMOOTHING * (seconds - self.known_s)
+            self.known_s += gain * (seconds - self.known_s)
         else:
-            self.unknown_s += TIMES_SMOOTHING * (seconds - self.unknown_s)
-        self.mean_s += TIMES_SMOOTHING * (seconds - self.mean_s)
+            self.unknown_s += gain * (seconds - self.unknown_s)
+        all_records = sum(self._records.values())
+        gain = max(TIMES_SMOOTHING, 1.0 / (all_records + PRIOR_RECORDS))
+        self.mean_s += gain * (seconds - self.mean_s)
--- a/src/hibiscushaven/placement/picker.py
+++ b/src/hibiscushaven/placement/picker.py
@@ -7,9 +7,15 @@
 from hibiscushaven.fleet import FleetView, token_of
 from hibiscushaven.routing import Configuration, OperatorState, Route
 
-from .affinity import ObjectOrder, ObjectSample, copies_of, position_of
+from .affinity import (
+    CopyLevel,
+    ObjectOrder,
+    hit_rate_name,
+    known_rate_name,
+    position_of,
+)
 from .flows import PRIOR_PART, RegionShares, target_shares
-from .loads import ServerLoad, ServerLoads, WorkTimes
+from .loads import DEFAULT_OBJECTIVE_S, ServerLoad, ServerLoads, WorkTimes
 from .warmup import KEEPERS, WarmupGate
 
 __all__ = ["Demand", "NoRoom", "Picker", "PickerOptions", "Placement"]
@@ -125,12 +131,11 @@
 
 
 class _ServiceState:
-    def __init__(self, options: PickerOptions) -> None:
-        self.times = WorkTimes()
+    def __init__(self, options: PickerOptions, objective_s: float) -> None:
+        self.times = WorkTimes(objective_s)
         self.shares = RegionShares(options.region, options.shift_per_s)
-        self.sample = ObjectSample()
         # Servers that should know each object, by region.
-        self.copies: dict[str, int] = {}
+        self.copies: dict[str, CopyLevel] = {}
         self.overflow = OVERFLOW_BURST
 
 
@@ -210,8 +215,6 @@
         if not groups:
             return NoRoom("no backend server is usable", self._pause_s(demand), 0)
         state = self._state(demand.service)
-        if demand.key is not None and not demand.excluded:
-            state.sample.note(now, demand.key)
         region = self._region(now, demand, groups, state)
         choice = self._pick_in(now, demand, region, groups[region], state)
         if isinstance(choice, Placement):
@@ -260,23 +263,26 @@
                 for region in {*rates, self._options.region}
             }
             state.shares.move(now, rows[self._options.region])
-            state.copies = self._copies(service, rows.values(), state)
-
-    def _copies(
-        self, service: str, rows: Iterable[Mapping[str, float]], state: _ServiceState
-    ) -> dict[str, int]:
-        """Return how many servers of each region should know each object.
-
-        The callers of each region ask for objects of their own, about as many in each.
-
-        :param rows: parts of each region's requests by the region that runs them.
-        """
-        objects = state.sample.estimate()
-        parts = [dict(row) for row in rows]
-        return {
-            region: copies_of(len(servers), objects * sum(row.get(region, 0.0) for row in parts))
-            for region, servers in self.usable(service).items()
-        }
+            self._move_copies(now, service, arrivals.values(), state)
+
+    def copy_levels(self, service: str) -> Mapping[str, float]:
+        """Return how many servers of each region should know each object of a service."""
+        return {name: copies.level for name, copies in self._state(service).copies.items()}
+
+    def _move_copies(
+        self,
+        now: float,
+        service: str,
+        arrivals: Iterable[Mapping[int, float]],
+        state: _ServiceState,
+    ) -> None:
+        rates = tuple(arrivals)
+        for region in self.usable(service):
+            known, hits = (
+                sum(of_region.get(self._token(name), 0.0) for of_region in rates)
+                for name in (known_rate_name(service, region), hit_rate_name(service, region))
+            )
+            state.copies.setdefault(region, CopyLevel()).move(now, known, hits)
 
     def keep_only(self, server_ids: frozenset[str]) -> None:
         """Forget servers that are not named."""
@@ -287,9 +293,21 @@
     def _state(self, service: str) -> _ServiceState:
         state = self._services.get(service)
         if state is None:
-            state = self._services[service] = _ServiceState(self._options)
+            state = _ServiceState(self._options, self._objective_s(service))
+            self._services[service] = state
         return state
 
+    def _objective_s(self, service: str) -> float:
+        """Return the shortest objective of the routes to a service."""
+        configuration = self._operator.configuration
+        routes = configuration.routes if configuration is not None else ()
+        found = (
+            route.objective_s
+            for route in routes
+            if any(part.service == service for part in route.parts)
+        )
+        return min(found, default=DEFAULT_OBJECTIVE_S)
+
     def _token(self, text: str) -> int:
         token = self._tokens.get(text)
         if token is None:
@@ -363,7 +381,8 @@
             order, copies = tuple(by_id), len(by_id)
         else:
             order = self._order.of(demand.key, tuple(by_id))
-            copies = state.copies.get(region, 1)
+            level = state.copies.get(region)
+            copies = level.copies_at(position_of(demand.key)) if level is not None else 1
         best: Placement | None = None
         best_cost = 0.0
         soonest_s = demand.time_left_s
