Let VMs that start wait for news before they read the store, and wake idle loops less

Cause: at a start of all VMs none knows another one, so that each is the first in its own order and reads at once and again each 0.5 s. VMs also woke up 26 times a second each for turns and sums that were not theirs.

Ruled out: reading by fewer VMs by chance, since a VM that starts alone must not wait long.

Change: a VM joins first, gives the others 0.1 s to answer and then reads in its turn, also when it knows nothing yet. Looks at a turn that is far off come each 0.5 s, and only the lead wakes up for its digests.

--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -60,6 +60,12 @@
 # Time between two attempts to find the other VMs through the store.
 JOIN_RETRY_S = 1.0
 
+# Time for that before this VM reads the store by itself; two calls of a slow store.
+JOIN_WAIT_S = 0.5
+
+# Time for the VMs of the region to answer; a round trip there is some milliseconds.
+ANSWER_WAIT_S = 0.1
+
 # Part of the cap on moving requests between regions that is used in a second. The cap holds for
 # two windows of 2 s, so that two thirds of it are used and the rest covers chance.
 SHIFT_PART_PER_S = 1 / 3
@@ -111,6 +117,7 @@
         self._incarnation = random.getrandbits(31)
         self._sequence = 0
         self._digest_sequence = 0
+        self._leads = asyncio.Event()
         self._is_leaving = False
         self._is_sending_soon = False
         self._far_sent_at = -1e6
@@ -149,9 +156,8 @@
         :raises OSError: when the address for peers cannot be used.
         """
         await self._link.start(self._options.peers_at)
-        self._reader.start()
         self._tasks = [
-            asyncio.create_task(loop) for loop in (self._join(), self._tick(), self._sum_up())
+            asyncio.create_task(loop) for loop in (self._begin(), self._tick(), self._sum_up())
         ]
 
     def adopt(self, options: GatewayOptions) -> None:
@@ -191,6 +197,17 @@
             delay_s = max(delay_s, STATE_DELAY_PER_VM_S * self.view.near_count)
         asyncio.get_running_loop().call_later(delay_s, self._send_state)
 
+    async def _begin(self) -> None:
+        """Find the other VMs; read the store when none of them can tell what it holds."""
+        joining = asyncio.create_task(self._join())
+        try:
+            await asyncio.wait((joining,), timeout=JOIN_WAIT_S)
+            await asyncio.sleep(ANSWER_WAIT_S)
+            self._reader.start()
+            await joining
+        finally:
+            joining.cancel()
+
     async def _join(self) -> None:
         """Tell the other VMs about this one, and learn of them."""
         own = VmAddress(self._options.name, str(self._options.peers_at))
@@ -389,9 +406,10 @@
     async def _sum_up(self) -> None:
         """Tell the VMs of a large region what is in progress, while this VM leads it."""
         while True:
+            await self._leads.wait()
+            self._send_near_digest(self._clock.now())
             per_vm_s = NEAR_DIGEST_PER_VM_S * self.view.near_count
             await asyncio.sleep(max(NEAR_DIGEST_LEAST_S, per_vm_s))
-            self._send_near_digest(self._clock.now())
 
     def _send_near_digest(self, now: float) -> None:
         if self.view.is_summing(now):
@@ -414,7 +432,12 @@
         self._note_own_lost(now)
         self._measure_arrivals(now)
         self.picker.move_shares(now, self._own_arrivals())
-        is_told = self.view.told.is_fresh(now) or self.view.is_summing(now)
+        is_summing = self.view.is_summing(now)
+        if is_summing:
+            self._leads.set()
+        else:
+            self._leads.clear()
+        is_told = is_summing or self.view.told.is_fresh(now)
         far_interval_s = TOLD_STATE_INTERVAL_S if is_told else FAR_STATE_INTERVAL_S
         is_far = now - self._far_sent_at >= far_interval_s
         # The next step comes a whole interval later.
--- a/src/hibiscushaven/gateway/reader.py
+++ b/src/hibiscushaven/gateway/reader.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Callable
 
-from hibiscushaven.feeds import RANK_STEP_S, ReadingTurn
+from hibiscushaven.feeds import RANK_STEP_S, READ_INTERVAL_S, ReadingTurn
 from hibiscushaven.process import Clock
 from hibiscushaven.routing import OperatorState
 
@@ -20,8 +20,10 @@
 OPERATOR_WAIT_S = 1.5
 OPERATOR_MAX_AGE_S = 2.0
 
-# Time between two looks at whose turn it is.
+# Time between two looks at whose turn it is, and the longest one of a VM whose turn is far off;
+# it may come suddenly when many VMs are lost.
 CHECK_INTERVAL_S = 0.2
+LONGEST_CHECK_S = 0.5
 
 # A VM that lacks news that no peer could deliver takes the operator's state to be this old.
 STALE_S = 3.0
@@ -32,6 +34,12 @@
 class StoreReader:
     """Reads the store when it is this VM's turn, or when no other VM does.
 
+    Explanation
+    ===========
+
+    A VM that has just started and knows nothing waits for its turn as well: if others are up,
+    one of them reads or knows already, and the news arrive sooner than a read of its own.
+
     :param rank: returns how many VMs of the region come before this one, given whether this
         one can read.
     :param on_listing: takes the backend servers and the time since the read before.
@@ -58,6 +66,7 @@
         self._turn = ReadingTurn()
         self._operator_confirmed_at = _NEVER
         self._servers_confirmed_at = _NEVER
+        self._started_at = _NEVER
         self._must_read = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -78,6 +87,7 @@
 
     def start(self) -> None:
         """Start to read."""
+        self._started_at = self._now()
         loops = (self._read_servers(), self._read_operator())
         self._tasks = [asyncio.create_task(loop) for loop in loops]
 
@@ -102,10 +112,8 @@
 
     async def _read_servers(self) -> None:
         while True:
-            wait_s = self._turn.wait_s(
-                self._now(), self._rank(self.can_read), self._servers_confirmed_at
-            )
-            if wait_s > 0 and not await self._is_called(min(wait_s, CHECK_INTERVAL_S)):
+            wait_s = self._wait_s()
+            if wait_s > 0 and not await self._is_called(min(wait_s, _check_s(wait_s))):
                 continue
             try:
                 listing = await self._store.read_servers()
@@ -118,15 +126,22 @@
             self._servers_confirmed_at = now
             self._on_listing(listing, gap_s)
 
+    def _wait_s(self) -> float:
+        """Return the time until this VM should read the backend servers."""
+        known_at = max(self._servers_confirmed_at, self._started_at - READ_INTERVAL_S)
+        return self._turn.wait_s(self._now(), self._rank(self.can_read), known_at)
+
     async def _read_operator(self) -> None:
         while True:
-            age_s = self._now() - self._operator_confirmed_at
+            known_at = max(self._operator_confirmed_at, self._started_at - OPERATOR_MAX_AGE_S)
+            age_s = self._now() - known_at
             rank = self._rank(self.can_read)
             is_reader = rank == 0 and self.can_read
-            if not is_reader and age_s < OPERATOR_MAX_AGE_S + RANK_STEP_S * rank:
-                await asyncio.sleep(CHECK_INTERVAL_S)
+            wait_s = OPERATOR_MAX_AGE_S + RANK_STEP_S * rank - age_s
+            if not is_reader and wait_s > 0:
+                await asyncio.sleep(_check_s(wait_s))
                 continue
-            is_stale = age_s > OPERATOR_MAX_AGE_S
+            is_stale = age_s >= OPERATOR_MAX_AGE_S
             try:
                 operator = await self._store.read_operator(0.0 if is_stale else OPERATOR_WAIT_S)
             except StoreError as error:
@@ -160,3 +175,8 @@
         _LOG.info("store regained", extra={"failures": self._turn.failures})
         self._turn.succeeded()
         self._on_turn()
+
+
+def _check_s(wait_s: float) -> float:
+    """Return the time until the next look at a turn that seems to be so far off."""
+    return max(CHECK_INTERVAL_S, min(LONGEST_CHECK_S, wait_s / 2))
