--- a/src/hibiscushaven/placement/__init__.py
+++ b/src/hibiscushaven/placement/__init__.py
@@ -2,8 +2,9 @@
 
 from .affinity import hit_rate_name, known_rate_name
 from .budget import RetryBudget
+from .demand import Demand
 from .loads import LoadReport, ServerLoad, ServerLoads
-from .picker import Demand, NoRoom, Picker, PickerOptions, Placement
+from .picker import NoRoom, Picker, PickerOptions, Placement
 
 __all__ = [
     "Demand",
--- a/src/hibiscushaven/placement/picker.py
+++ b/src/hibiscushaven/placement/picker.py
@@ -5,7 +5,7 @@
 
 from hibiscushaven.discovery import KnownServer, Registry
 from hibiscushaven.fleet import FleetView, token_of
-from hibiscushaven.routing import Configuration, OperatorState, Route
+from hibiscushaven.routing import Configuration, OperatorState
 
 from .affinity import (
     CopyLevel,
@@ -14,19 +14,13 @@
     known_rate_name,
     position_of,
 )
+from .demand import Demand, has_room
 from .flows import PRIOR_PART, RegionShares, target_shares
+from .groups import ServerGroups
 from .loads import DEFAULT_OBJECTIVE_S, ServerLoad, ServerLoads, WorkTimes
 from .warmup import KEEPERS, WarmupGate
 
-__all__ = ["Demand", "NoRoom", "Picker", "PickerOptions", "Placement"]
-
-# Requests that may wait at a backend server, as a multiple of its slots.
-QUEUE_PART = 2.0
-
-# The same for requests of callers that come back after a refusal, and their predicted time as a
-# multiple of the objective. A longer queue of them would make all others late.
-RETURN_QUEUE_PART = 2.5
-RETURN_OBJECTIVE_PART = 1.25
+__all__ = ["NoRoom", "Picker", "PickerOptions", "Placement"]
 
 # Measured slowness from which a server is set aside, so that the next one in the order of its
 # objects learns them; never more than half of a region's servers.
@@ -50,9 +44,6 @@
 OVERFLOW_PART = 0.03
 OVERFLOW_BURST = 3.0
 
-# A server that other VMs lost so recently may have restarted and be cold without knowing it.
-LOSS_NEWS_S = 4.0
-
 # Shortest time to come back after, so that callers do not return before anything has changed.
 LEAST_RETRY_AFTER_S = 0.05
 
@@ -77,26 +68,6 @@
     shift_per_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class Demand:
-    """A request that looks for a backend server.
-
-    :ivar key: object that it is about, if any.
-    :ivar objective_left_s: time left within its objective.
-    :ivar time_left_s: time left in all.
-    :ivar excluded: backend servers that it was already sent to.
-    :ivar is_return: whether its caller was refused before and has come back.
-    """
-
-    route: Route
-    service: str
-    key: str | None
-    objective_left_s: float
-    time_left_s: float
-    excluded: frozenset[str] = frozenset()
-    is_return: bool = False
-
-
 @dataclass(frozen=True, slots=True)
 class Placement:
     """The backend server of an attempt, with what decided it.
@@ -159,27 +130,26 @@
         self, options: PickerOptions, registry: Registry, view: FleetView, loads: ServerLoads
     ) -> None:
         self._options = options
-        self._registry = registry
         self._view = view
         self._loads = loads
         self._gate = WarmupGate()
         self._order = ObjectOrder()
         self._services: dict[str, _ServiceState] = {}
         self._operator = OperatorState()
-        self._usable: dict[str, dict[str, tuple[KnownServer, ...]]] = {}
-        self._usable_of: tuple[int, int] = (-1, -1)
+        self._groups = ServerGroups(registry, options.regions)
         self._tokens: dict[str, int] = {}
 
     def set_options(self, options: PickerOptions) -> None:
         """Use changed options of the deployment."""
         self._options = options
-        self._usable_of = (-1, -1)
+        self._groups.set_regions(options.regions)
         for state in self._services.values():
             state.shares.most_per_s = options.shift_per_s
 
     def set_operator(self, operator: OperatorState) -> None:
         """Use a newer state of the operator."""
         self._operator = operator
+        self._groups.set_evacuated(operator.evacuated)
 
     @property
     def configuration(self) -> Configuration | None:
@@ -187,14 +157,7 @@
 
     def usable(self, service: str) -> Mapping[str, tuple[KnownServer, ...]]:
         """Return the servers of a service that may get requests, by region."""
-        revisions = (self._registry.revision, self._operator.version)
-        if revisions != self._usable_of:
-            self._usable = {}
-            self._usable_of = revisions
-        found = self._usable.get(service)
-        if found is None:
-            found = self._usable[service] = self._find_usable(service)
-        return found
+        return self._groups.of_service(service)
 
     def region_shares(self, service: str) -> Mapping[str, float]:
         """Return the current shares of the regions of a service."""
@@ -314,16 +277,6 @@
             token = self._tokens[text] = token_of(text)
         return token
 
-    def _find_usable(self, service: str) -> dict[str, tuple[KnownServer, ...]]:
-        groups: dict[str, list[KnownServer]] = {}
-        for server in self._registry.of_service(service):
-            domain = server.record.failure_domain
-            region = self._options.regions.get(domain)
-            is_out = server.record.is_leaving or domain in self._operator.evacuated
-            if region is not None and not is_out:
-                groups.setdefault(region, []).append(server)
-        return {region: tuple(servers) for region, servers in groups.items()}
-
     def _allowed(self, demand: Demand) -> dict[str, tuple[KnownServer, ...]]:
         homes = demand.route.home_regions
         groups = {
@@ -403,7 +356,7 @@
                 continue
             work_s, wait_s = self._predict(now, server, load, busy, is_known, state)
             soonest_s = min(soonest_s, wait_s)
-            if not _has_room(busy, server.record.slots, work_s + wait_s, demand):
+            if not has_room(busy, server.record.slots, work_s + wait_s, demand):
                 continue
             cost = work_s * (1.0 + ORDER_BIAS * place + FAILURE_WEIGHT * load.failed_part) + wait_s
             if best is None or cost < best_cost:
@@ -464,20 +417,6 @@
         return max(LEAST_RETRY_AFTER_S, min(PAUSE_S, demand.time_left_s / 4))
 
 
-def _has_room(busy: int, slots: int, predicted_s: float, demand: Demand) -> bool:
-    """Return whether a request should go to a server with so many in progress.
-
-    A caller that was refused before goes first: it may wait where others are refused, since it
-    would not come back again.
-    """
-    if busy < slots:
-        return predicted_s <= demand.time_left_s
-    if demand.is_return:
-        longest_s = min(RETURN_OBJECTIVE_PART * demand.route.objective_s, demand.time_left_s)
-        return busy < slots * (1.0 + RETURN_QUEUE_PART) and predicted_s <= longest_s
-    return busy < slots * (1.0 + QUEUE_PART) and predicted_s <= demand.objective_left_s
-
-
 def _prior(regions: Mapping[str, str], slots: Mapping[str, int], work_s: float) -> dict[str, float]:
     """Return equal arrivals in all regions that use a part of all slots."""
     names = set(regions.values())
