Tell VMs the changes of backend servers, not the whole list

Cause: each change of a backend server made every VM of a region pull the whole list, some 23 KB with 390 servers, and decode it.

Change: the registry remembers which servers changed with which version. News hold the changes since the version of the VM that asks, with a checksum of the result: two VMs may come to a version in different ways, and changes that do not fit make a VM ask for the whole list.

Tests: discovery/tests/test_registry.py (changes lead to the same servers as the list, for random reads and delays; changes that do not fit; who is too far behind), gateway/tests/test_node.py.

--- a/src/hibiscushaven/discovery/registry.py
+++ b/src/hibiscushaven/discovery/registry.py
@@ -2,10 +2,14 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
+from functools import lru_cache
 
+import xxhash
+
+from .changes import ChangeLog
 from .records import ServerRecord
 
-__all__ = ["LAPSE_GRACE_S", "OUTAGE_S", "KnownServer", "Registry"]
+__all__ = ["LAPSE_GRACE_S", "OUTAGE_S", "KnownServer", "Registry", "RegistryNews"]
 
 # Backend servers register again within about 2 s of the store's return.
 LAPSE_GRACE_S = 2.0
@@ -14,6 +18,8 @@
 # intervals between reads.
 OUTAGE_S = 1.0
 
+_HASHES = 2**64
+
 
 @dataclass(frozen=True, slots=True)
 class KnownServer:
@@ -28,13 +34,33 @@
     lapsed_until: float | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class RegistryNews:
+    """What one VM knows of backend servers and another one does not.
+
+    :ivar version: version that the other VM comes to.
+    :ivar base: version that it must have; ``None`` if the servers are all that there are.
+    :ivar removed: servers that are gone since then.
+    :ivar checksum: of all servers, as of ``version``.
+    """
+
+    version: int
+    servers: Mapping[str, KnownServer]
+    base: int | None = None
+    removed: frozenset[str] = frozenset()
+    checksum: int = 0
+
+
 class Registry:
     """Merges reads of the store and snapshots of peers; versions only move forward.
 
     Explanation
     ===========
 
-    A reader of the store calls ``replace_all``; other VMs ``adopt`` the snapshot of a reader.
+    A reader of the store calls ``replace_all``; other VMs ``adopt`` the news of a reader: all
+    servers, or the changes since their own version. Two VMs may come to a version in different
+    ways; changes whose result has another checksum are not taken, and all are asked for.
+
     A record that disappears while the store was away is kept for a grace time, since its
     server may only have been unable to renew it.
 
@@ -49,6 +75,8 @@
         self._servers: dict[str, KnownServer] = {}
         self._by_service: dict[str, tuple[KnownServer, ...]] = {}
         self._grace_until = 0.0
+        self._changes = ChangeLog()
+        self._checksum: tuple[int, int] = (-1, 0)
 
     @property
     def servers(self) -> Mapping[str, KnownServer]:
@@ -75,15 +103,38 @@
         missing = [server_id for server_id in self._servers if server_id not in read]
         return self._merge(now, version, read, missing)
 
-    def adopt(self, now: float, version: int, servers: Mapping[str, KnownServer]) -> bool:
-        """Take a peer's snapshot if it is newer; return whether it was taken."""
-        if version <= self.version:
+    @property
+    def checksum(self) -> int:
+        """Checksum of what the records of all servers say."""
+        if self._checksum[0] != self.revision:
+            self._checksum = self.revision, _checksum_of(self._servers)
+        return self._checksum[1]
+
+    def news_since(self, version: int) -> RegistryNews:
+        """Return what a VM with a version lacks."""
+        changed = self._changes.since(version)
+        if changed is None:
+            return RegistryNews(self.version, dict(self._servers), None, checksum=self.checksum)
+        servers = {name: self._servers[name] for name in changed if name in self._servers}
+        removed = changed - servers.keys()
+        return RegistryNews(self.version, servers, version, removed, self.checksum)
+
+    def adopt(self, news: RegistryNews) -> bool:
+        """Take a peer's news if they are newer and fit; return whether they were taken."""
+        if news.version <= self.version or news.base not in (None, self.version):
             return False
-        self.version = version
-        self._servers = {
-            server_id: _with_later_cold(server, self._servers.get(server_id))
-            for server_id, server in servers.items()
-        }
+        kept = {} if news.base is None else self._servers
+        servers = {name: server for name, server in kept.items() if name not in news.removed}
+        for server_id, server in news.servers.items():
+            servers[server_id] = _with_later_cold(server, self._servers.get(server_id))
+        if news.base is not None and _checksum_of(servers) != news.checksum:
+            return False
+        self.version = news.version
+        self._servers = servers
+        if news.base is None:
+            self._changes.restart(news.version)
+        else:
+            self._changes.note(news.version, {*news.servers, *news.removed})
         self._index()
         return True
 
@@ -98,6 +149,7 @@
             del self._servers[server_id]
         if ended:
             self.version += 1
+            self._changes.note(self.version, ended)
             self._index()
         return bool(ended)
 
@@ -119,19 +171,21 @@
     def _merge(
         self, now: float, version: int, read: Mapping[str, ServerRecord], missing: Iterable[str]
     ) -> bool:
-        has_changed = False
+        changed = []
         for server_id, record in read.items():
             known = self._servers.get(server_id)
             if known is not None and known.record == record and known.lapsed_until is None:
                 continue
             self._servers[server_id] = _updated(now, known, record)
-            has_changed = True
-        for server_id in missing:
-            has_changed |= self._lose(now, server_id)
-        if has_changed:
+            changed.append(server_id)
+        changed += [server_id for server_id in missing if self._lose(now, server_id)]
+        if changed:
+            if not self.version:
+                self._changes.restart(version)
             self.version = max(version, self.version + 1)
+            self._changes.note(self.version, changed)
             self._index()
-        return has_changed
+        return bool(changed)
 
     def _lose(self, now: float, server_id: str) -> bool:
         known = self._servers.get(server_id)
@@ -166,3 +220,13 @@
     if known is None or not known.record.is_same_run(server.record):
         return server
     return replace(server, cold_until=max(server.cold_until, known.cold_until))
+
+
+def _checksum_of(servers: Mapping[str, KnownServer]) -> int:
+    return sum(_hash_of(server.record) for server in servers.values()) % _HASHES
+
+
+# Twice the backend servers of the largest deployment, so that each is hashed once.
+@lru_cache(maxsize=1024)
+def _hash_of(record: ServerRecord) -> int:
+    return xxhash.xxh64_intdigest(repr(record).encode())
--- a/src/hibiscushaven/discovery/tests/test_registry.py
+++ b/src/hibiscushaven/discovery/tests/test_registry.py
@@ -6,7 +6,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hibiscushaven.discovery import LAPSE_GRACE_S, KnownServer, Registry, ServerRecord
+from hibiscushaven.discovery import (
+    LAPSE_GRACE_S,
+    KnownServer,
+    Registry,
+    RegistryNews,
+    ServerRecord,
+)
+from hibiscushaven.discovery.changes import CHANGES_KEPT
 from hibiscushaven.ini.fields import Endpoint
 
 
@@ -74,7 +81,7 @@
 def test_snapshots_of_peers_only_move_forward(versions, own):
     registry = make_registry(make_record(), version=own)
     for version in versions:
-        registry.adopt(1.0, version, {"s1": KnownServer(make_record(slots=version))})
+        registry.adopt(RegistryNews(version, {"s1": KnownServer(make_record(slots=version))}))
     newest = max(15, own)
     assert registry.version == newest
     assert registry.servers["s1"].record.slots == (15 if own < 15 else 4)
@@ -97,7 +104,7 @@
 def test_presumed_coldness_outlives_a_peers_snapshot():
     registry = make_registry(make_record())
     registry.mark_server_cold("s1", 9.0)
-    registry.adopt(1.0, 20, {"s1": KnownServer(make_record())})
+    registry.adopt(RegistryNews(20, {"s1": KnownServer(make_record())}))
     assert registry.servers["s1"].cold_until == 9.0
 
 
@@ -112,3 +119,84 @@
 def test_servers_by_service(service, expected):
     registry = make_registry(make_record("s2"), make_record("s1"))
     assert [s.record.server_id for s in registry.of_service(service)] == expected
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.dictionaries(st.sampled_from("abcde"), st.integers(1, 3)),
+            st.booleans(),
+        ),
+        max_size=12,
+    )
+)
+def test_changes_lead_to_the_same_servers_as_the_whole_list(reads):
+    """A reader's reads reach another VM at some times, and a third one at others."""
+    reader, often, seldom = Registry(), Registry(), Registry()
+    for number, (content, is_told) in enumerate(reads):
+        records = [make_record(name, slots=slots) for name, slots in content.items()]
+        reader.replace_all(float(number), 10 * (number + 1), records, gap_s=0.5)
+        often.adopt(reader.news_since(often.version))
+        if is_told:
+            seldom.adopt(reader.news_since(seldom.version))
+        assert often.servers == reader.servers and often.version == reader.version
+    seldom.adopt(reader.news_since(seldom.version))
+    assert seldom.servers == reader.servers
+    assert seldom.checksum == reader.checksum
+
+
+def test_changes_name_only_what_changed():
+    reader = make_registry(*(make_record(f"s{number}") for number in range(50)))
+    other = Registry()
+    assert other.adopt(reader.news_since(other.version))
+    records = [make_record(f"s{number}") for number in range(1, 51)]
+    reader.replace_all(1.0, 20, records, gap_s=0.5)
+    news = reader.news_since(other.version)
+    assert set(news.servers) == {"s50"} and news.removed == {"s0"}
+    assert other.adopt(news)
+    assert other.servers == reader.servers
+
+
+def test_changes_that_do_not_fit_are_not_taken():
+    reader = make_registry(make_record("s1"))
+    other = make_registry(make_record("s1", slots=9))
+    reader.replace_all(1.0, 20, [make_record("s1"), make_record("s2")], gap_s=0.5)
+    news = reader.news_since(other.version)
+    assert news.base == other.version
+    assert not other.adopt(news)
+    assert set(other.servers) == {"s1"}
+    assert other.adopt(reader.news_since(0))
+    assert other.servers == reader.servers
+
+
+def test_news_for_another_version_are_not_taken():
+    reader = make_registry(make_record("s1"))
+    other = Registry()
+    other.adopt(reader.news_since(0))
+    reader.replace_all(1.0, 20, [make_record("s2")], gap_s=0.5)
+    news = reader.news_since(other.version)
+    other.expire(2.0)
+    other.replace_all(2.0, 15, [make_record("s1"), make_record("s3")], gap_s=0.5)
+    assert not other.adopt(news)
+    assert set(other.servers) == {"s1", "s3"}
+
+
+def test_vm_that_is_too_far_behind_gets_the_whole_list():
+    reader = make_registry(make_record("s"))
+    other = Registry()
+    other.adopt(reader.news_since(0))
+    for number in range(CHANGES_KEPT + 1):
+        reader.replace_all(1.0, 20 + number, [make_record(f"s{number}")], gap_s=0.5)
+    news = reader.news_since(other.version)
+    assert news.base is None
+    assert other.adopt(news) and other.servers == reader.servers
+
+
+def test_lapsed_servers_reach_others_with_the_changes():
+    reader = make_registry(make_record("s1"), make_record("s2"))
+    other = Registry()
+    other.adopt(reader.news_since(0))
+    reader.replace_all(9.0, 20, [make_record("s1")], gap_s=8.0)
+    assert other.adopt(reader.news_since(other.version))
+    assert other.servers["s2"].lapsed_until == 9.0 + LAPSE_GRACE_S
+    assert other.expire(9.0 + LAPSE_GRACE_S) and set(other.servers) == {"s1"}
--- a/src/hibiscushaven/fleet/news.py
+++ b/src/hibiscushaven/fleet/news.py
@@ -5,7 +5,7 @@
 
 import msgpack
 
-from hibiscushaven.discovery import KnownServer, ServerRecord
+from hibiscushaven.discovery import KnownServer, RegistryNews, ServerRecord
 from hibiscushaven.ini.fields import Endpoint
 from hibiscushaven.routing import Configuration, OperatorState
 from hibiscushaven.routing.codec import from_plain, to_plain
@@ -23,8 +23,7 @@
     """
 
     operator: OperatorState | None = None
-    servers_version: int = 0
-    servers: dict[str, KnownServer] | None = None
+    servers: RegistryNews | None = None
 
 
 def encode_news(now: float, news: News) -> bytes:
@@ -36,10 +35,15 @@
         configuration and to_plain(configuration),
         sorted(operator.evacuated),
     ]
-    plain_servers = None
-    if news.servers is not None:
-        plain_servers = [_plain_server(now, server) for server in news.servers.values()]
-    return msgpack.packb([plain_operator, news.servers_version, plain_servers])
+    servers = news.servers
+    plain_servers = servers and [
+        servers.version,
+        [_plain_server(now, server) for server in servers.servers.values()],
+        servers.base,
+        sorted(servers.removed),
+        servers.checksum,
+    ]
+    return msgpack.packb([plain_operator, plain_servers])
 
 
 def decode_news(now: float, items: Any) -> News:
@@ -48,7 +52,7 @@
     :raises MessageError: when it is none.
     """
     try:
-        plain_operator, version, plain_servers = items
+        plain_operator, plain_servers = items
         operator = None
         if plain_operator is not None:
             revision, configuration, evacuated = plain_operator
@@ -56,9 +60,12 @@
             operator = OperatorState(revision, parsed, frozenset(evacuated))
         servers = None
         if plain_servers is not None:
-            known = [_server(now, item) for item in plain_servers]
-            servers = {server.record.server_id: server for server in known}
-        return News(operator, int(version), servers)
+            version, listed, base, removed, checksum = plain_servers
+            known = [_server(now, item) for item in listed]
+            by_id = {server.record.server_id: server for server in known}
+            base = None if base is None else int(base)
+            servers = RegistryNews(int(version), by_id, base, frozenset(removed), int(checksum))
+        return News(operator, servers)
     except (TypeError, ValueError, AttributeError) as error:
         raise MessageError(f"news: {error!r}") from error
 
--- a/src/hibiscushaven/fleet/tests/test_fleet.py
+++ b/src/hibiscushaven/fleet/tests/test_fleet.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hibiscushaven.discovery import KnownServer, ServerRecord
+from hibiscushaven.discovery import KnownServer, RegistryNews, ServerRecord
 from hibiscushaven.fleet import (
     FleetLink,
     FleetView,
@@ -133,7 +133,8 @@
 def make_news():
     record = ServerRecord("s1", "stock", Endpoint("10.0.0.9", 80), "serra-a", 4)
     operator = OperatorState(5, Configuration(3), frozenset({"vale-a"}))
-    return News(operator, 9, {"s1": KnownServer(record, 12.0, None)})
+    servers = RegistryNews(9, {"s1": KnownServer(record, 12.0, None)}, 7, frozenset({"s2"}), 5)
+    return News(operator, servers)
 
 
 def test_news_keep_times_that_remain():
@@ -142,7 +143,8 @@
     items = msgpack.unpackb(encode_news(10.0, make_news()))
     news = decode_news(100.0, items)
     assert news.operator == make_news().operator
-    assert news.servers["s1"].cold_until == pytest.approx(102.0)
+    assert (news.servers.base, news.servers.removed, news.servers.checksum) == (7, {"s2"}, 5)
+    assert news.servers.servers["s1"].cold_until == pytest.approx(102.0)
 
 
 @given(st.recursive(st.integers() | st.text() | st.none(), st.lists, max_leaves=12))
@@ -172,7 +174,7 @@
         client.close()
         return news
 
-    assert asyncio.run(run()).servers_version == 9
+    assert asyncio.run(run()).servers.version == 9
 
 
 def test_datagrams_reach_the_handler_and_damaged_ones_are_counted():
--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import replace
 
-from hibiscushaven.discovery import KnownServer, Registry
+from hibiscushaven.discovery import KnownServer, Registry, RegistryNews
 from hibiscushaven.fleet import (
     FleetLink,
     FleetView,
@@ -124,6 +124,7 @@
         self._near_sent_at = -1e6
         self._arrivals: dict[str, float] = {}
         self._arrivals_at = 0.0
+        self._has_diverged = False
         self._pulling: asyncio.Task[None] | None = None
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -267,27 +268,35 @@
     async def _pull(self, name: str, peers_at: str) -> None:
         try:
             news = await self._link.pull(
-                peers_at, self._operator.version, self.registry.version, PULL_TIMEOUT_S
+                peers_at,
+                self._operator.version,
+                0 if self._has_diverged else self.registry.version,
+                PULL_TIMEOUT_S,
             )
         except (OSError, MessageError, TimeoutError) as error:
             _LOG.warning("no news from VM", extra={"vm": name, "why": repr(error)})
             self._reader.read_now()
             return
-        now = self._clock.now()
         if news.operator is not None:
             self._adopt_operator(news.operator, name)
-        if news.servers is not None and self.registry.adopt(
-            now, news.servers_version, news.servers
-        ):
-            self._on_servers(name)
+        if news.servers is not None:
+            self._adopt_servers(news.servers, name)
+
+    def _adopt_servers(self, news: RegistryNews, source: str) -> None:
+        if self.registry.adopt(news):
+            self._has_diverged = False
+            self._on_servers(source)
+        elif news.version > self.registry.version and news.base == self.registry.version:
+            # Both came to the version in different ways; the whole list settles it.
+            _LOG.warning("changes do not fit", extra={"vm": source, "version": news.version})
+            self._has_diverged = True
 
     def _give_news(self, operator_version: int, servers_version: int) -> News:
         has_operator = self._operator.version > operator_version
         has_servers = self.registry.version > servers_version
         return News(
             self._operator if has_operator else None,
-            self.registry.version,
-            dict(self.registry.servers) if has_servers else None,
+            self.registry.news_since(servers_version) if has_servers else None,
         )
 
     def _note_lost(self, now: float, lost: Mapping[int, float]) -> None:
--- a/src/hibiscushaven/gateway/tests/test_node.py
+++ b/src/hibiscushaven/gateway/tests/test_node.py
@@ -126,3 +126,28 @@
         assert node._pulling is None
 
     in_loop(scenario)
+
+
+def test_vm_whose_servers_differ_asks_for_all_of_them():
+    async def scenario():
+        peer, node = make_node("vm-2"), make_node()
+        peer.registry.replace_all(0.0, 10, [make_record("s1")], gap_s=0.5)
+        node.registry.replace_all(0.0, 10, [make_record("s1", is_leaving=True)], gap_s=0.5)
+        peer.registry.replace_all(1.0, 20, [make_record("s1"), make_record("s2")], gap_s=0.5)
+        asked = []
+
+        async def pull(address, operator_version, servers_version, timeout_s):
+            asked.append(servers_version)
+            return peer._give_news(operator_version, servers_version)
+
+        node._link.pull = pull
+        await node._pull("vm-2", "127.0.0.1:9")
+        assert node.registry.version == 10
+        await node._pull("vm-2", "127.0.0.1:9")
+        assert asked == [10, 0]
+        assert node.registry.servers == peer.registry.servers
+        node.registry.replace_all(2.0, 15, [make_record("s1")], gap_s=0.5)
+        await node._pull("vm-2", "127.0.0.1:9")
+        assert asked[-1] == 20
+
+    asyncio.run(scenario())
