--- a/src/hibiscushaven/fleet/messages.py
+++ b/src/hibiscushaven/fleet/messages.py
@@ -36,7 +36,9 @@
     :ivar servers_version: version of the backend servers that it knows.
     :ivar in_progress: its requests in progress by token of the backend server.
     :ivar lost: seconds since it lost a backend server, by token.
-    :ivar arrivals: requests a second from its callers by token of the service.
+    :ivar arrivals: requests a second from its callers by token of the service, and answers
+        about objects by token of their rate's name.
+    :ivar has_arrivals: whether it names them; otherwise those of the state before still hold.
     :ivar slowness: latest reports of backend servers by token, in percent of the usual work
         time, with their age in seconds.
     """
@@ -60,6 +62,7 @@
     in_progress: Mapping[int, int] = field(default_factory=dict)
     lost: Mapping[int, float] = field(default_factory=dict)
     arrivals: Mapping[int, float] = field(default_factory=dict)
+    has_arrivals: bool = True
     slowness: Mapping[int, Sequence[float]] = field(default_factory=dict)
 
 
--- a/src/hibiscushaven/fleet/tests/test_fleet.py
+++ b/src/hibiscushaven/fleet/tests/test_fleet.py
@@ -97,6 +97,15 @@
     assert view.in_progress(TOKEN) == 0
 
 
+def test_arrivals_hold_until_others_are_told():
+    view = make_view()
+    view.on_state(0.0, make_state(arrivals={TOKEN: 3.0}))
+    view.on_state(0.1, make_state(sequence=2, has_arrivals=False))
+    assert view.arrivals(0.1, {TOKEN: 1.0}) == {TOKEN: 4.0}
+    view.on_state(0.2, make_state(sequence=3))
+    assert view.arrivals(0.2, {TOKEN: 1.0}) == {TOKEN: 1.0}
+
+
 def test_other_regions_count_by_digest_only():
     view = make_view()
     view.on_state(0.0, make_state("far", region="vale", in_progress={TOKEN: 3}))
--- a/src/hibiscushaven/fleet/view.py
+++ b/src/hibiscushaven/fleet/view.py
@@ -1,7 +1,7 @@
 """What one VM knows of the others."""
 
 from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from .messages import RegionDigest, VmState, token_of
 from .sums import ToldSums
@@ -98,6 +98,8 @@
         was_up = peer is not None and self._is_up(now, peer)
         if peer is not None:
             self._count(peer.state, -1)
+            if not state.has_arrivals:
+                state = replace(state, arrivals=peer.state.arrivals)
         self._peers[state.name] = _Peer(state, now, now)
         self._count(state, 1)
         self._note_slowness(now, state.slowness)
--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -124,6 +124,7 @@
         self._near_sent_at = -1e6
         self._arrivals: dict[str, float] = {}
         self._arrivals_at = 0.0
+        self._arrivals_told_at = -1e6
         self._has_diverged = False
         self._pulling: asyncio.Task[None] | None = None
         self._tasks: list[asyncio.Task[None]] = []
@@ -319,6 +320,9 @@
         now = self._clock.now()
         self._sequence += 1
         in_progress = self._own_in_progress()
+        has_arrivals = now - self._arrivals_told_at >= STATE_INTERVAL_S
+        if has_arrivals:
+            self._arrivals_told_at = now
         self.view.told.note_sent(self._sequence, in_progress)
         return VmState(
             name=self._options.name,
@@ -339,7 +343,8 @@
             servers_age_s=now - self._reader.servers_confirmed_at,
             in_progress=in_progress,
             lost=self._own_lost(now),
-            arrivals={token_of(name): rate for name, rate in self._arrivals.items()},
+            arrivals=self._own_arrivals() if has_arrivals else {},
+            has_arrivals=has_arrivals,
             slowness=self._own_reports(now),
         )
 
