Begin with one server for each object

Cause: at the start servers know nothing, and two servers for each object learn it twice; the level fell from two to one within the first seconds and grew again.

The picker's tests now play servers that have known their objects for a while, which two servers for each object take; their checks are the same.

--- a/src/hibiscushaven/placement/affinity.py
+++ b/src/hibiscushaven/placement/affinity.py
@@ -96,7 +96,8 @@
     Servers forget objects when they serve too many, and how many they keep is told nowhere. A
     second server that knows an object helps while the first one is busy or slow, until servers
     begin to forget. So the part of the objects with a second server grows while the servers
-    know what they should, and shrinks while they do not. The rates are those of the whole
+    know what they should, and shrinks while they do not. At first each has one, which servers
+    that know nothing learn soonest. The rates are those of the whole
     deployment, so that all VMs come to about the same level.
 
     Which objects have a second server follows from their position, the same at all VMs.
@@ -105,15 +106,15 @@
     ========
 
     >>> level = CopyLevel()
-    >>> level.move(0.0, known_per_s=50.0, hits_per_s=20.0)
-    >>> level.move(1.0, known_per_s=50.0, hits_per_s=20.0)
+    >>> for now in (0.0, 1.0, 2.0):
+    ...     level.move(now, known_per_s=50.0, hits_per_s=50.0)
     >>> round(level.level, 2), level.copies_at(0.1), level.copies_at(0.9)
-    (1.6, 2, 1)
+    (1.4, 2, 1)
 
     """
 
     def __init__(self) -> None:
-        self.level = float(MOST_COPIES)
+        self.level = 1.0
         self._moved_at: float | None = None
 
     def move(self, now: float, known_per_s: float, hits_per_s: float) -> None:
--- a/src/hibiscushaven/placement/tests/test_affinity.py
+++ b/src/hibiscushaven/placement/tests/test_affinity.py
@@ -77,7 +77,17 @@
     level = CopyLevel()
     level.move(0.0, 1.0, 0.0)
     level.move(10.0, 1.0, 0.0)
+    assert level.level == 1.0
+
+
+def test_level_falls_as_it_grew():
+    level = CopyLevel()
+    for now in range(20):
+        level.move(float(now), 50.0, 50.0)
     assert level.level == MOST_COPIES
+    for now in range(20, 40):
+        level.move(float(now), 50.0, 25.0)
+    assert level.level == 1.0
 
 
 def test_work_times_follow_the_first_answers_and_tell_known_objects():
--- a/src/hibiscushaven/placement/tests/test_picker.py
+++ b/src/hibiscushaven/placement/tests/test_picker.py
@@ -5,7 +5,16 @@
 from hibiscushaven.discovery import Registry, ServerRecord
 from hibiscushaven.fleet import FleetView, VmState, token_of
 from hibiscushaven.ini.fields import Endpoint
-from hibiscushaven.placement import Demand, NoRoom, Picker, PickerOptions, Placement, ServerLoads
+from hibiscushaven.placement import (
+    Demand,
+    NoRoom,
+    Picker,
+    PickerOptions,
+    Placement,
+    ServerLoads,
+    hit_rate_name,
+    known_rate_name,
+)
 from hibiscushaven.routing import (
     Configuration,
     OperatorState,
@@ -39,9 +48,11 @@
         self.picker.set_operator(
             OperatorState(1, Configuration(1, (ROUTE,), services), frozenset(evacuated))
         )
-        for number in range(60):
-            self.pick(key=str(number % 10))
-        self.picker.move_shares(0.0, {})
+        # The servers have known their objects for a while, so that each has a second one.
+        names = known_rate_name("stock", "serra"), hit_rate_name("stock", "serra")
+        rates = {token_of(name): 50.0 for name in names}
+        for before_s in range(20, -1, -1):
+            self.picker.move_shares(float(-before_s), rates)
 
     def pick(self, now=0.0, key="17", route=ROUTE, **fields):
         defaults = {"objective_left_s": 0.25, "time_left_s": 0.8}
