--- a/src/hibiscushaven/fleet/view.py
+++ b/src/hibiscushaven/fleet/view.py
@@ -29,6 +29,9 @@
 # would grow with their square; one VM sums up for all then.
 DIRECT_VMS = 16
 
+# Time for which a VM keeps to the lead that it found, since it asks dozens of times a second.
+LEAD_LIFE_S = 0.1
+
 # Time after which a VM that has become the lead has heard all others, which send each 0.2 s.
 LEAD_SETTLE_S = 0.3
 
@@ -46,6 +49,7 @@
     state: VmState
     heard_at: float
     state_at: float
+    token: int
     told_sequence: int = -1
 
 
@@ -74,6 +78,8 @@
         self.capacity = capacity
         self.is_leaving = False
         self.told = ToldSums(name)
+        self._lead: VmState | FleetView = self
+        self._lead_at = float("-inf")
         self._lead_since: float | None = None
         self._peers: dict[str, _Peer] = {}
         self._digests: dict[str, tuple[RegionDigest, float]] = {}
@@ -100,7 +106,7 @@
             self._count(peer.state, -1)
             if not state.has_arrivals:
                 state = replace(state, arrivals=peer.state.arrivals)
-        self._peers[state.name] = _Peer(state, now, now)
+        self._peers[state.name] = _Peer(state, now, now, token_of(state.name))
         self._count(state, 1)
         self._note_slowness(now, state.slowness)
         return not was_up
@@ -129,11 +135,14 @@
 
     def _hear_of(self, now: float, digest: RegionDigest) -> None:
         """Count the VMs whose newer states a digest contains as heard."""
-        for name, peer in self._peers.items():
-            if name == digest.sender:
-                peer.heard_at = now
-                continue
-            sequence = digest.sequences.get(token_of(name))
+        sender = self._peers.get(digest.sender)
+        if sender is not None:
+            sender.heard_at = now
+        sequences = digest.sequences
+        if not sequences:
+            return
+        for peer in self._peers.values():
+            sequence = sequences.get(peer.token)
             if sequence is not None and sequence != peer.told_sequence:
                 peer.told_sequence = sequence
                 peer.heard_at = now
@@ -199,7 +208,12 @@
 
     def near(self, now: float) -> list[VmState]:
         """Return the other VMs of the own region that are up."""
-        return [state for state in self.up(now) if state.region == self.region]
+        limit_s = self._near_silence_s(now)
+        return [
+            peer.state
+            for peer in self._peers.values()
+            if peer.state.region == self.region and now - peer.heard_at <= limit_s
+        ]
 
     def known(self) -> list[VmState]:
         """Return all VMs, up or not."""
@@ -226,6 +240,11 @@
 
     def lead(self, now: float) -> "VmState | FleetView":
         """Return the VM that sums up the region: its state, or this view for this VM."""
+        if not 0.0 <= now - self._lead_at < LEAD_LIFE_S:
+            self._lead, self._lead_at = self._find_lead(now), now
+        return self._lead
+
+    def _find_lead(self, now: float) -> "VmState | FleetView":
         staying = [state for state in self.near(now) if not state.is_leaving]
         candidates: list[VmState | FleetView] = [*staying, *([] if self.is_leaving else [self])]
         return min(candidates, key=_lead_order, default=self)
@@ -250,7 +269,7 @@
         return [
             peer.state
             for peer in near
-            if peer.state is lead
+            if peer.state.name == lead.name
             or (not peer.state.hears_lead and now - peer.state_at <= UNTOLD_LIFE_S)
         ]
 
@@ -315,11 +334,12 @@
         return sums
 
     def _is_up(self, now: float, peer: _Peer) -> bool:
-        limit = FAR_SILENCE_S
-        if peer.state.region == self.region:
-            is_told = self.told.is_fresh(now, TOLD_SILENCE_S)
-            limit = TOLD_SILENCE_S if is_told else SILENCE_S
-        return now - peer.heard_at <= limit
+        is_near = peer.state.region == self.region
+        limit_s = self._near_silence_s(now) if is_near else FAR_SILENCE_S
+        return now - peer.heard_at <= limit_s
+
+    def _near_silence_s(self, now: float) -> float:
+        return TOLD_SILENCE_S if self.told.is_fresh(now, TOLD_SILENCE_S) else SILENCE_S
 
     def _count(self, state: VmState, sign: int) -> None:
         # What VMs of other regions have in progress comes in digests.
