Let the lead's silence follow the time between its digests

Cause: at 100 VMs a region digests come each 0.2 s, and 0.3 s without one already counted as silence, so that a single lost datagram would have made a VM tell all others. Three may be lost now whatever the size; in a region of 47 VMs that is 0.32 s.

--- a/src/hibiscushaven/fleet/sums.py
+++ b/src/hibiscushaven/fleet/sums.py
@@ -5,11 +5,7 @@
 
 from .messages import RegionDigest, token_of
 
-__all__ = ["DIGEST_SILENCE_S", "ToldSums"]
-
-# Silence of the lead after which VMs tell each other directly again: three digests of a large
-# region, and short enough that all have told before the lead itself counts as silent.
-DIGEST_SILENCE_S = 0.3
+__all__ = ["ToldSums"]
 
 # States of this VM that a digest may be based on; at most 50 are sent in a second.
 SENT_LIMIT = 64
@@ -25,6 +21,8 @@
     in progress in that state are those of all others. A digest that contains no known state of
     this VM is not used, since its sender does not hear this VM.
 
+    :ivar heard_at: time of the latest digest.
+
     Examples
     ========
 
@@ -41,7 +39,7 @@
         self._sent: OrderedDict[int, Mapping[int, int]] = OrderedDict()
         self._digest: RegionDigest | None = None
         self._own: Mapping[int, int] = {}
-        self._heard_at = float("-inf")
+        self.heard_at = float("-inf")
 
     @property
     def digest(self) -> RegionDigest | None:
@@ -59,13 +57,9 @@
         own = self._sent.get(digest.sequences.get(self._token, -1))
         if own is None:
             return False
-        self._digest, self._own, self._heard_at = digest, own, now
+        self._digest, self._own, self.heard_at = digest, own, now
         return True
 
-    def is_fresh(self, now: float, within_s: float = DIGEST_SILENCE_S) -> bool:
-        """Return whether the lead was heard of late."""
-        return now - self._heard_at <= within_s
-
     def drop(self) -> None:
         """Forget the digest."""
         self._digest = None
--- a/src/hibiscushaven/fleet/view.py
+++ b/src/hibiscushaven/fleet/view.py
@@ -29,6 +29,15 @@
 # would grow with their square; one VM sums up for all then.
 DIRECT_VMS = 16
 
+# Time between two digests of a large region for its own VMs. It grows with the VMs, so that the
+# lead sends 500 datagrams a second at most.
+NEAR_DIGEST_LEAST_S = 0.04
+NEAR_DIGEST_PER_VM_S = 0.002
+
+# Digests in a row that may be lost before the lead counts as silent, and the least time for it.
+LOST_DIGESTS = 3
+DIGEST_SILENCE_S = 0.3
+
 # Time for which a VM keeps to the lead that it found, since it asks dozens of times a second.
 LEAD_LIFE_S = 0.1
 
@@ -94,6 +103,16 @@
         """Number of other VMs of the own region, up or silent."""
         return sum(peer.state.region == self.region for peer in self._peers.values())
 
+    @property
+    def digest_interval_s(self) -> float:
+        """Time between two digests of the lead for its own region."""
+        return max(NEAR_DIGEST_LEAST_S, NEAR_DIGEST_PER_VM_S * self.near_count)
+
+    def is_told(self, now: float) -> bool:
+        """Return whether this VM hears the lead of its large region."""
+        silence_s = (LOST_DIGESTS + 0.5) * self.digest_interval_s
+        return now - self.told.heard_at <= max(DIGEST_SILENCE_S, silence_s)
+
     def on_state(self, now: float, state: VmState) -> bool:
         """Take a state; return whether its VM was not known to be up."""
         if state.name == self.name:
@@ -165,7 +184,7 @@
     def expire(self, now: float) -> list[str]:
         """Drop the loads of silent VMs and regions; return the VMs that went silent."""
         silent = []
-        if not self.told.is_fresh(now):
+        if not self.is_told(now):
             self.told.drop()
         if self.lead(now) is not self:
             self._lead_since = None
@@ -264,7 +283,7 @@
             return []
         lead = self.lead(now)
         near = [peer for peer in self._peers.values() if peer.state.region == self.region]
-        if not self.told.is_fresh(now) or lead is self:
+        if not self.is_told(now) or lead is self:
             return [peer.state for peer in near]
         return [
             peer.state
@@ -339,7 +358,7 @@
         return now - peer.heard_at <= limit_s
 
     def _near_silence_s(self, now: float) -> float:
-        return TOLD_SILENCE_S if self.told.is_fresh(now, TOLD_SILENCE_S) else SILENCE_S
+        return TOLD_SILENCE_S if now - self.told.heard_at <= TOLD_SILENCE_S else SILENCE_S
 
     def _count(self, state: VmState, sign: int) -> None:
         # What VMs of other regions have in progress comes in digests.
--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -46,11 +46,6 @@
 # that a message did not reach.
 TOLD_STATE_INTERVAL_S = 10.0
 
-# Time between two digests of a large region for its own VMs. It grows with the VMs, so that the
-# lead sends 500 datagrams a second at most.
-NEAR_DIGEST_LEAST_S = 0.04
-NEAR_DIGEST_PER_VM_S = 0.002
-
 # Time between two digests for the other regions.
 DIGEST_INTERVAL_S = 0.2
 
@@ -195,7 +190,7 @@
             return
         self._is_sending_soon = True
         delay_s = STATE_DELAY_S
-        if not self.view.told.is_fresh(self._clock.now()):
+        if not self.view.is_told(self._clock.now()):
             delay_s = max(delay_s, STATE_DELAY_PER_VM_S * self.view.near_count)
         asyncio.get_running_loop().call_later(delay_s, self._send_state)
 
@@ -335,7 +330,7 @@
             is_ready=self.is_ready,
             is_leaving=self._is_leaving,
             capacity=self._options.capacity,
-            hears_lead=self.view.told.is_fresh(now) or self.view.is_summing(now),
+            hears_lead=self.view.is_told(now) or self.view.is_summing(now),
             can_read=self._reader.can_read,
             operator_version=self._operator.version,
             operator_age_s=now - self._reader.operator_confirmed_at,
@@ -422,8 +417,7 @@
         while True:
             await self._leads.wait()
             self._send_near_digest(self._clock.now())
-            per_vm_s = NEAR_DIGEST_PER_VM_S * self.view.near_count
-            await asyncio.sleep(max(NEAR_DIGEST_LEAST_S, per_vm_s))
+            await asyncio.sleep(self.view.digest_interval_s)
 
     def _send_near_digest(self, now: float) -> None:
         if self.view.is_summing(now):
@@ -451,7 +445,7 @@
             self._leads.set()
         else:
             self._leads.clear()
-        is_told = is_summing or self.view.told.is_fresh(now)
+        is_told = is_summing or self.view.is_told(now)
         far_interval_s = TOLD_STATE_INTERVAL_S if is_told else FAR_STATE_INTERVAL_S
         is_far = now - self._far_sent_at >= far_interval_s
         # The next step comes a whole interval later.
