--- a/src/hibiscushaven/platform/tests/store_standin.py
+++ b/src/hibiscushaven/platform/tests/store_standin.py
@@ -18,6 +18,7 @@
     RESET = auto()
     SILENT = auto()
     LOST_ANSWER = auto()
+    LATE_WRITE = auto()
     HISTORY_GONE = auto()
     GARBAGE = auto()
 
@@ -27,6 +28,7 @@
 
     :ivar faults: faults of the next calls, one each.
     :ivar calls: paths of the calls so far.
+    :ivar late: writes whose calls got no answer and that are performed later.
     """
 
     def __init__(self):
@@ -35,6 +37,7 @@
         self.version = 100
         self.faults = deque()
         self.calls = []
+        self.late = []
         self._runner = None
         self._changed = asyncio.Event()
 
@@ -79,6 +82,10 @@
             return web.Response()
         if fault is Fault.SILENT:
             await asyncio.sleep(3600)
+        if fault is Fault.LATE_WRITE:
+            self.late.append(await request.json())
+            request.transport.abort()
+            return web.Response()
         if fault is Fault.GARBAGE:
             return web.Response(body=b'{"Rows": [7]}')
         answer = await getattr(self, "_" + call.replace("-", "_"))(request)
@@ -87,12 +94,19 @@
         return answer
 
     async def _rows_tx(self, request):
-        body = await request.json()
+        self._write(await request.json())
+        return self._answer({})
+
+    def perform_late_writes(self):
+        """Perform the writes that were put off, as the store may do seconds later."""
+        while self.late:
+            self._write(self.late.pop(0))
+
+    def _write(self, body):
         for row in body["SetKeys"]:
             self.put(row["Table"], row["Key"], base64.b64decode(row["Value"]))
         for row in body["DeleteKeys"]:
             self.drop(row["Table"], row["Key"])
-        return self._answer({})
 
     async def _rows_get(self, request):
         table, start = request.query["Table"], request.query.get("From", "")
--- a/src/hibiscushaven/platform/tests/test_store.py
+++ b/src/hibiscushaven/platform/tests/test_store.py
@@ -136,6 +136,30 @@
     run(scenario)
 
 
+def test_write_that_is_performed_late_is_harmless():
+    """An old address may come back, or stay after a stop; VMs only send a datagram to it."""
+
+    async def scenario(stand_in, client):
+        old, new = VmAddress("vm-1", "10.0.0.1:7000"), VmAddress("vm-1", "10.0.0.2:7000")
+        stand_in.faults.append(Fault.LATE_WRITE)
+        with pytest.raises(StoreError):
+            await client.register(old)
+        await client.register(new)
+        assert await client.list_vms() == (new,)
+        stand_in.perform_late_writes()
+        assert await client.list_vms() == (old,)
+        stand_in.faults.append(Fault.LATE_WRITE)
+        with pytest.raises(StoreError):
+            await client.deregister("vm-1")
+        await client.register(new)
+        stand_in.perform_late_writes()
+        assert await client.list_vms() == ()
+        await client.register(new)
+        assert await client.list_vms() == (new,)
+
+    run(scenario)
+
+
 def test_operator_state_and_its_changes():
     async def scenario(stand_in, client):
         assert (await client.read_operator(0.0)).configuration is None
