Let regions of unlike sizes tell each other, and pace the lead by its link

Found on reading: the lead of a large region sent its digests to two VMs of each other region, also of a small one, where nobody passes them on; the test with 20 and 5 VMs failed. Digests for 47 VMs would have taken 6 of 10 Mbit/s when only VMs with small links are left. An answer of the directory named the same 64 VMs of a larger region always, so that the others got no callers.

Change: who gets digests follows from the size of the region that gets them; the lead takes a fifth of its link at most and names the interval, by which its silence is judged; a VM with a small link counts for less as lead; callers of each failure domain get its VMs first where not all fit.

--- a/src/hibiscushaven/fleet/__init__.py
+++ b/src/hibiscushaven/fleet/__init__.py
@@ -3,6 +3,7 @@
 from .link import FleetLink
 from .messages import MessageError, RegionDigest, VmState, token_of
 from .news import News
+from .pace import digest_interval_s
 from .view import FleetView
 
 __all__ = [
@@ -12,5 +13,6 @@
     "News",
     "RegionDigest",
     "VmState",
+    "digest_interval_s",
     "token_of",
 ]
--- a/src/hibiscushaven/fleet/messages.py
+++ b/src/hibiscushaven/fleet/messages.py
@@ -28,7 +28,7 @@
     :ivar incarnation: drawn at each start; with ``sequence``, orders the states of a VM.
     :ivar callers_at: address for callers, ``ip:port``.
     :ivar peers_at: address for other VMs, ``ip:port``.
-    :ivar capacity: processor of the machine, in cores of usual speed.
+    :ivar capacity: what it can do for others, in cores of usual speed.
     :ivar hears_lead: whether the lead of its region tells it what is in progress.
     :ivar can_read: whether its last call of the platform's store succeeded.
     :ivar operator_version: version of the operator's state that it holds.
@@ -73,6 +73,7 @@
     The fields after ``arrivals`` are for large regions, whose VMs tell only the sender.
 
     :ivar sequences: latest state of each VM that the sums contain, by token of its name.
+    :ivar interval_s: time until the next digest for the region.
     :ivar peers_at: address of the sender for other VMs.
     :ivar operator_version: version of the operator's state that the sender holds; like the
         next three, as in ``VmState``.
@@ -87,6 +88,7 @@
     in_progress: Mapping[int, int] = field(default_factory=dict)
     arrivals: Mapping[int, float] = field(default_factory=dict)
     sequences: Mapping[int, int] = field(default_factory=dict)
+    interval_s: float = 0.0
     peers_at: str = ""
     operator_version: int = 0
     operator_age_s: float = 1e6
--- a/src/hibiscushaven/fleet/sums.py
+++ b/src/hibiscushaven/fleet/sums.py
@@ -22,6 +22,7 @@
     this VM is not used, since its sender does not hear this VM.
 
     :ivar heard_at: time of the latest digest.
+    :ivar interval_s: time until the next one, as its sender says.
 
     Examples
     ========
@@ -40,6 +41,7 @@
         self._digest: RegionDigest | None = None
         self._own: Mapping[int, int] = {}
         self.heard_at = float("-inf")
+        self.interval_s = 0.0
 
     @property
     def digest(self) -> RegionDigest | None:
@@ -58,6 +60,7 @@
         if own is None:
             return False
         self._digest, self._own, self.heard_at = digest, own, now
+        self.interval_s = digest.interval_s
         return True
 
     def drop(self) -> None:
--- a/src/hibiscushaven/fleet/view.py
+++ b/src/hibiscushaven/fleet/view.py
@@ -8,8 +8,8 @@
 
 __all__ = ["DIRECT_VMS", "FAR_SILENCE_S", "SILENCE_S", "FleetView"]
 
-# Silence after which a VM of the own region counts as gone: states come each 0.2 s at least,
-# so that three in a row must be lost.
+# Silence after which a VM of the own region counts as gone: states come each 0.2 s, and each
+# 0.3 s at most, so that two or three in a row must be lost.
 SILENCE_S = 0.7
 
 # The same where the lead tells who is up: a VM is silent after four digests, each based on a
@@ -22,18 +22,13 @@
 # The same for VMs of other regions, whose states come each second.
 FAR_SILENCE_S = 3.0
 
-# Age after which the digest of a region says nothing; digests come each 0.15 s.
+# Age after which the digest of a region says nothing; digests come each 0.2 s.
 DIGEST_LIFE_S = 1.0
 
 # Other VMs of a region up to which all tell each other directly. With more of them, messages
 # would grow with their square; one VM sums up for all then.
 DIRECT_VMS = 16
 
-# Time between two digests of a large region for its own VMs. It grows with the VMs, so that the
-# lead sends 500 datagrams a second at most.
-NEAR_DIGEST_LEAST_S = 0.04
-NEAR_DIGEST_PER_VM_S = 0.002
-
 # Digests in a row that may be lost before the lead counts as silent, and the least time for it.
 LOST_DIGESTS = 3
 DIGEST_SILENCE_S = 0.3
@@ -103,14 +98,9 @@
         """Number of other VMs of the own region, up or silent."""
         return sum(peer.state.region == self.region for peer in self._peers.values())
 
-    @property
-    def digest_interval_s(self) -> float:
-        """Time between two digests of the lead for its own region."""
-        return max(NEAR_DIGEST_LEAST_S, NEAR_DIGEST_PER_VM_S * self.near_count)
-
     def is_told(self, now: float) -> bool:
         """Return whether this VM hears the lead of its large region."""
-        silence_s = (LOST_DIGESTS + 0.5) * self.digest_interval_s
+        silence_s = (LOST_DIGESTS + 0.5) * self.told.interval_s
         return now - self.told.heard_at <= max(DIGEST_SILENCE_S, silence_s)
 
     def on_state(self, now: float, state: VmState) -> bool:
@@ -294,13 +284,15 @@
 
     def far_listeners(self, now: float) -> list[VmState]:
         """Return the VMs of other regions that should get the digest of this one."""
-        far = [state for state in self.up(now) if state.region != self.region]
-        if self.near_count <= DIRECT_VMS:
-            return far
         by_region: dict[str, list[VmState]] = {}
-        for state in sorted(far, key=_lead_order):
-            by_region.setdefault(state.region, []).append(state)
-        return [state for states in by_region.values() for state in states[:FAR_LISTENERS]]
+        for state in sorted(self.up(now), key=_lead_order):
+            if state.region != self.region:
+                by_region.setdefault(state.region, []).append(state)
+        return [
+            state
+            for states in by_region.values()
+            for state in (states if len(states) <= DIRECT_VMS + 1 else states[:FAR_LISTENERS])
+        ]
 
     def sequences(self, now: float) -> dict[int, int]:
         """Return the latest state of each VM of the region that is up, by token."""
@@ -358,7 +350,8 @@
         return now - peer.heard_at <= limit_s
 
     def _near_silence_s(self, now: float) -> float:
-        return TOLD_SILENCE_S if now - self.told.heard_at <= TOLD_SILENCE_S else SILENCE_S
+        told_s = max(TOLD_SILENCE_S, SILENCE_S + (LOST_DIGESTS + 0.5) * self.told.interval_s)
+        return told_s if now - self.told.heard_at <= told_s else SILENCE_S
 
     def _count(self, state: VmState, sign: int) -> None:
         # What VMs of other regions have in progress comes in digests.
--- a/src/hibiscushaven/gateway/daemon.py
+++ b/src/hibiscushaven/gateway/daemon.py
@@ -66,8 +66,8 @@
     path: str
     readiness_path: str
 
-    def read(self, request: Request) -> tuple[str, str]:
-        """Return the host that is asked for, and the caller's region."""
+    def read(self, request: Request) -> tuple[str, str, str]:
+        """Return the host that is asked for, and the caller's region and failure domain."""
 
     def write(self, addresses: list[str], ttl_s: float) -> object:
         """Return the body of an answer."""
@@ -210,7 +210,7 @@
 
     def _directory_route(self) -> Route:
         async def directory(request: Request) -> Response:
-            host, region = self._directory.read(request)
+            host, region, failure_domain = self._directory.read(request)
             table = self._forwarder.table
             own = str(self._options.callers_at) if self.node.is_ready else None
             addresses = choose_addresses(
@@ -218,6 +218,7 @@
                 self.node.view,
                 own,
                 region,
+                failure_domain,
                 table.home_regions(host) if table is not None else frozenset(),
             )
             if not addresses:
--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -14,6 +14,7 @@
     News,
     RegionDigest,
     VmState,
+    digest_interval_s,
     token_of,
 )
 from hibiscushaven.fleet.messages import encode
@@ -112,6 +113,7 @@
         self._incarnation = random.getrandbits(31)
         self._sequence = 0
         self._digest_sequence = 0
+        self._digest_bytes = 0
         self._leads = asyncio.Event()
         self._is_leaving = False
         self._is_sending_soon = False
@@ -394,6 +396,7 @@
         return replace(
             self._digest(now),
             sequences=self.view.sequences(now),
+            interval_s=self._digest_interval_s(),
             peers_at=str(self._options.peers_at),
             operator_version=self._operator.version,
             operator_age_s=now - self._reader.operator_confirmed_at,
@@ -417,11 +420,17 @@
         while True:
             await self._leads.wait()
             self._send_near_digest(self._clock.now())
-            await asyncio.sleep(self.view.digest_interval_s)
+            await asyncio.sleep(self._digest_interval_s())
 
     def _send_near_digest(self, now: float) -> None:
         if self.view.is_summing(now):
-            self._send_near(encode(self._near_digest(now)))
+            datagram = encode(self._near_digest(now))
+            self._digest_bytes = len(datagram)
+            self._send_near(datagram)
+
+    def _digest_interval_s(self) -> float:
+        vms, link_mbps = self.view.near_count, self._options.link_mbps
+        return digest_interval_s(vms, self._digest_bytes, link_mbps)
 
     def _own_arrivals(self) -> dict[int, float]:
         return {token_of(name): rate for name, rate in self._arrivals.items()}
--- a/src/hibiscushaven/gateway/options.py
+++ b/src/hibiscushaven/gateway/options.py
@@ -14,7 +14,9 @@
     """Addresses of one VM, its place, and the bounds of the deployment.
 
     :ivar regions: region by failure domain, for the whole deployment.
-    :ivar capacity: processor of the VM, in cores of usual speed.
+    :ivar capacity: what the VM can do for others: its processor in cores of usual speed, or
+        less if its link is small for it.
+    :ivar link_mbps: its link, in Mbit/s.
     :ivar callers_at: address for callers.
     :ivar readiness_at: address of the readiness check.
     :ivar directory_at: address for callers that ask where to connect.
@@ -40,6 +42,7 @@
     metrics_at: Endpoint | None = None
     seeds: tuple[str, ...] = ()
     capacity: float = 1.0
+    link_mbps: float = 1000.0
     answer_ttl_s: float = 2.0
     grace_s: float = 6.0
     shift_cap: float = 0.15
--- a/src/hibiscushaven/gateway/settings.py
+++ b/src/hibiscushaven/gateway/settings.py
@@ -38,6 +38,7 @@
         Field("failure_domains", _PAIRS),
         Field("cpu_share", number(0.001, 1000), 1.0, False),
         Field("core_speed", number(0.001, 1000), 1.0, False),
+        Field("link_mbps", number(0.1, 1e6), 1000.0, False),
     ),
     "listen": (
         Field("callers", endpoint()),
@@ -63,6 +64,9 @@
     ),
 }
 
+# Link that a core can use, in Mbit/s: a VM with less cannot pass on what it could work out.
+LINK_MBPS_PER_CORE = 50.0
+
 _REQUIRED = ("vm", "listen", "store")
 
 
@@ -141,7 +145,8 @@
         metrics_at=Endpoint(vm["host"], metrics_port) if metrics_port else None,
         peers_at=Endpoint(vm["host"], peer_port),
         seeds=tuple(f"{seed.partition(':')[0]}:{peer_port}" for seed in seeds),
-        capacity=vm["cpu_share"] * vm["core_speed"],
+        capacity=min(vm["cpu_share"] * vm["core_speed"], vm["link_mbps"] / LINK_MBPS_PER_CORE),
+        link_mbps=vm["link_mbps"],
         answer_ttl_s=bounds["answer_ttl"],
         grace_s=bounds["grace"],
         shift_cap=bounds["shift_cap"],
--- a/src/hibiscushaven/gateway/tests/test_directory.py
+++ b/src/hibiscushaven/gateway/tests/test_directory.py
@@ -12,12 +12,13 @@
 
 
 def make_state(name, region="serra", **fields):
-    defaults = {"is_ready": True}
-    return VmState(name, 1, 1, region, f"{region}-a", name, "b:1", **{**defaults, **fields})
+    defaults = {"failure_domain": f"{region}-a", "is_ready": True}
+    fields = {**defaults, **fields}
+    return VmState(name, 1, 1, region, callers_at=name, peers_at="b:1", **fields)
 
 
-def choose(view, now=0.0, own="vm-1", region="serra", homes=frozenset()):
-    return choose_addresses(now, view, own, region, homes)
+def choose(view, now=0.0, own="vm-1", region="serra", domain="serra-a", homes=frozenset()):
+    return choose_addresses(now, view, own, region, domain, homes)
 
 
 def test_own_region_only():
@@ -42,3 +43,20 @@
 def test_answer_is_bounded():
     view = make_view(*(make_state(f"n{number}") for number in range(100)))
     assert len(choose(view)) == ADDRESS_LIMIT
+
+
+def test_callers_of_all_failure_domains_together_reach_all_vms():
+    domains = ("serra-a", "serra-b", "serra-c")
+    states = [make_state(f"n{number}", failure_domain=domains[number % 3]) for number in range(100)]
+    found = [choose(make_view(*states), domain=domain) for domain in domains]
+    assert all(len(addresses) == ADDRESS_LIMIT for addresses in found)
+    assert set().union(*found) == {"vm-1", *(state.name for state in states)}
+
+
+def test_all_vms_answer_alike():
+    states = [make_state(f"n{number}") for number in range(100)]
+    other = FleetView("n5", "serra", "serra-a")
+    for state in [*states[::-1], make_state("vm-1")]:
+        if state.name != "n5":
+            other.on_state(0.0, state)
+    assert choose(make_view(*states)) == choose(other, own="n5")
--- a/src/hibiscushaven/gateway/tests/test_large_region.py
+++ b/src/hibiscushaven/gateway/tests/test_large_region.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from dataclasses import replace
 
 import pytest
 
@@ -228,3 +229,32 @@
     fleet.begin("serra-4", 2)
     fleet.play(0.5)
     assert fleet.seen() == fleet.others()
+
+
+@pytest.mark.parametrize("sizes", [{"serra": 20, "vale": 5}, {"serra": 5, "vale": 20}])
+def test_large_and_small_regions_tell_each_other(sizes):
+    fleet = Fleet(sizes)
+    fleet.play(2.0)
+    for number in range(5):
+        fleet.begin(f"serra-{number}", 1)
+        fleet.begin(f"vale-{number}", 2)
+    fleet.play(0.6)
+    assert fleet.seen() == fleet.others()
+    fleet.play(12.0)
+    now = fleet.clock.now()
+    assert all(len(node.view.up(now)) == 24 for node in fleet.nodes.values())
+
+
+def test_lead_with_a_small_link_sums_up_less_often():
+    fleet = Fleet({"serra": 20})
+    fleet.play(2.0)
+    lead = fleet.nodes["serra-3"]
+    often = lead._digest_interval_s()
+    lead._options = replace(lead._options, link_mbps=0.5)
+    assert lead._digest_interval_s() > 2 * often
+    fleet.play(1.0)
+    assert all(
+        node.view.is_told(fleet.clock.now() + 3 * lead._digest_interval_s() - 0.2)
+        for name, node in fleet.nodes.items()
+        if name != "serra-3"
+    )
--- a/src/hibiscushaven/platform/dialects.py
+++ b/src/hibiscushaven/platform/dialects.py
@@ -107,8 +107,9 @@
     path = "/v1/resolve"
     readiness_path = "/v1/readiness"
 
-    def read(self, request: Request) -> tuple[str, str]:
-        return request.query_params.get("Name", ""), request.query_params.get("Region", "")
+    def read(self, request: Request) -> tuple[str, str, str]:
+        query = request.query_params
+        return query.get("Name", ""), query.get("Region", ""), query.get("Zone", "")
 
     def write(self, addresses: list[str], ttl_s: float) -> object:
         return {"Addresses": addresses, "Ttl": f"{round(ttl_s * 1000)}ms"}
