--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -69,6 +69,9 @@
 # Weight of a new measurement of the arrivals, which is taken five times a second.
 ARRIVALS_SMOOTHING = 0.15
 
+# Change of the servers for each object from which on it is logged; some lines a minute.
+LOGGED_LEVEL_STEP = 0.5
+
 # Rates below this one are not told.
 LEAST_ARRIVALS_PER_S = 0.01
 
@@ -114,6 +117,8 @@
         self._sequence = 0
         self._digest_sequence = 0
         self._digest_bytes = 0
+        self._logged_lead: str | None = None
+        self._logged_levels: dict[tuple[str, str], float] = {}
         self._leads = asyncio.Event()
         self._is_leaving = False
         self._is_sending_soon = False
@@ -455,6 +460,7 @@
         else:
             self._leads.clear()
         is_told = is_summing or self.view.is_told(now)
+        self._log_beliefs(now, is_told)
         far_interval_s = TOLD_STATE_INTERVAL_S if is_told else FAR_STATE_INTERVAL_S
         is_far = now - self._far_sent_at >= far_interval_s
         # The next step comes a whole interval later.
@@ -463,6 +469,23 @@
         if self.view.is_lead(now):
             self._send_far_digest(now)
 
+    def _log_beliefs(self, now: float, is_told: bool) -> None:
+        """Log who sums up the region, and how many servers know each object, on a change."""
+        lead = self.view.lead(now).name if is_told else None
+        if lead != self._logged_lead:
+            self._logged_lead = lead
+            _LOG.info("lead changed", extra={"lead": lead, "vms": self.view.near_count + 1})
+        configuration = self._operator.configuration
+        for service in configuration.services if configuration is not None else ():
+            for region, level in self.picker.copy_levels(service).items():
+                logged = self._logged_levels.get((service, region), 1.0)
+                if abs(level - logged) >= LOGGED_LEVEL_STEP:
+                    self._logged_levels[service, region] = level
+                    _LOG.info(
+                        "copies changed",
+                        extra={"service": service, "region": region, "level": round(level, 2)},
+                    )
+
     def _note_own_lost(self, now: float) -> None:
         for server_id, age_s in self.loads.lost(now, LOSS_NEWS_S).items():
             server = self.registry.servers.get(server_id)
--- a/src/hibiscushaven/gateway/tests/test_large_region.py
+++ b/src/hibiscushaven/gateway/tests/test_large_region.py
@@ -258,3 +258,19 @@
         for name, node in fleet.nodes.items()
         if name != "serra-3"
     )
+
+
+def test_change_of_the_lead_is_logged(caplog):
+    caplog.set_level("INFO")
+    fleet = Fleet({"serra": 20})
+    fleet.play(2.0)
+    fleet.down.add("serra-3")
+    fleet.play(2.5)
+    leads = [
+        record.lead
+        for record in caplog.records
+        if record.getMessage() == "lead changed" and record.name.endswith("node")
+    ]
+    second = fleet.nodes["serra-0"].view.lead(fleet.clock.now()).name
+    assert leads.count("serra-3") == 20
+    assert leads.count(None) == 19 and leads.count(second) == 19
