Reset connections whose attempts are given up

The requests had been sent while the domain was cut off and were given up at their limit; their connections were closed, which lets the kernel go on sending what it holds. Its retransmission, doubled each time, came through at 14.46 s, 3.06 s after the cut had ended.

Ruled out: late knowledge (log lines `operator state adopted` of all VMs), cold or lapsed servers.

Change: connections to backend servers are closed with a reset, which drops such bytes.

Test: platform/tests/test_backends.py, which saw an orderly end before and sees a reset now.

--- a/src/hibiscushaven/delivery/pools.py
+++ b/src/hibiscushaven/delivery/pools.py
@@ -1,8 +1,11 @@
 """Connections to one backend server for one tenant."""
 
 import asyncio
+import socket
+import struct
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 import aiohttp
 from aiohttp.client_reqrep import ClientRequest
@@ -11,6 +14,9 @@
 
 _READ_BUFFER_BYTES = 64 * 1024
 
+# Socket option by which a close resets the connection: on, without a time to linger.
+_NO_LINGER = struct.pack("ii", 1, 0)
+
 
 class NotSentError(Exception):
     """The guard or the deadline stopped a request before anything was written."""
@@ -81,8 +87,14 @@
         self._gate = asyncio.Semaphore(limit)
         self._in_use = 0
         self._is_retired = False
-        self._reusing = _session(aiohttp.TCPConnector(limit=0, keepalive_timeout=idle_timeout_s))
-        self._fresh = _session(aiohttp.TCPConnector(limit=0, force_close=True))
+        self._reusing = _session(
+            aiohttp.TCPConnector(
+                limit=0, keepalive_timeout=idle_timeout_s, socket_factory=_resetting_socket
+            )
+        )
+        self._fresh = _session(
+            aiohttp.TCPConnector(limit=0, force_close=True, socket_factory=_resetting_socket)
+        )
 
     @property
     def idle(self) -> int:
@@ -132,6 +144,19 @@
             await self.close()
 
 
+def _resetting_socket(address: Any) -> socket.socket:
+    """Return a socket whose close drops what was not delivered yet.
+
+    The network may hold a request for seconds and deliver it long after its attempt was given
+    up, to a server that must not get any more.
+    """
+    family, kind, protocol, _, _ = address
+    made = socket.socket(family, kind, protocol)
+    made.setblocking(False)
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+    return made
+
+
 def _session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
     trace = aiohttp.TraceConfig()
     trace.on_connection_reuseconn.append(_mark_reused)
--- a/src/hibiscushaven/platform/tests/test_backends.py
+++ b/src/hibiscushaven/platform/tests/test_backends.py
@@ -195,3 +195,34 @@
     assert len(received) == 2 and received[1].startswith(b"GET / ")
     head, _, rest = received[0].partition(b"\r\n\r\n")
     assert head.startswith(b"POST / ") and body.startswith(rest)
+
+
+def test_attempt_that_was_given_up_leaves_no_bytes_behind():
+    """A reset drops what the network still holds; a server must not get it seconds later."""
+
+    async def main():
+        heads, ends = asyncio.Queue(), asyncio.Queue()
+
+        async def serve(reader, writer):
+            await heads.put(await reader.readuntil(b"\r\n\r\n"))
+            try:
+                await ends.put(await reader.read(1))
+            except ConnectionError as error:
+                await ends.put(error)
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        at = Endpoint("127.0.0.1", server.sockets[0].getsockname()[1])
+        client = BackendClient(dialect=PlatformBackends())
+        deadline = asyncio.get_running_loop().time() + 30
+        attempt = asyncio.create_task(
+            client.attempt(AttemptRequest(at, "GET", "/", "id-1", deadline))
+        )
+        await heads.get()
+        attempt.cancel()
+        end = await asyncio.wait_for(ends.get(), 20)
+        await client.close()
+        server.close()
+        return end
+
+    assert isinstance(asyncio.run(main()), ConnectionResetError)
