Take rates and the log of beliefs out of the gateway's node

Fields that states and digests share, sending to a list of VMs, the VMs of the own region and the services in force each stand once. FleetView.confirmed was not called any more, and a digest that nobody gets is not made.

--- a/src/hibiscushaven/fleet/view.py
+++ b/src/hibiscushaven/fleet/view.py
@@ -1,6 +1,6 @@
 """What one VM knows of the others."""
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, replace
 
 from .messages import RegionDigest, VmState, token_of
@@ -96,7 +96,7 @@
     @property
     def near_count(self) -> int:
         """Number of other VMs of the own region, up or silent."""
-        return sum(peer.state.region == self.region for peer in self._peers.values())
+        return len(self._near_peers())
 
     def is_told(self, now: float) -> bool:
         """Return whether this VM hears the lead of its large region."""
@@ -218,21 +218,15 @@
     def near(self, now: float) -> list[VmState]:
         """Return the other VMs of the own region that are up."""
         limit_s = self._near_silence_s(now)
-        return [
-            peer.state
-            for peer in self._peers.values()
-            if peer.state.region == self.region and now - peer.heard_at <= limit_s
-        ]
+        return [peer.state for peer in self._near_peers() if now - peer.heard_at <= limit_s]
 
     def known(self) -> list[VmState]:
         """Return all VMs, up or not."""
         return [peer.state for peer in self._peers.values()]
 
-    def confirmed(self, now: float) -> Iterable[tuple[VmState, float]]:
-        """Yield the states of the own region with their age in seconds."""
-        for peer in self._peers.values():
-            if peer.state.region == self.region and self._is_up(now, peer):
-                yield peer.state, now - peer.heard_at
+    def near_known(self) -> list[VmState]:
+        """Return the other VMs of the own region, up or not."""
+        return [peer.state for peer in self._near_peers()]
 
     def rank(self, now: float, can_read: bool) -> int:
         """Return how many VMs of the own region come before this one as readers.
@@ -272,12 +266,11 @@
         if self.is_summing(now):
             return []
         lead = self.lead(now)
-        near = [peer for peer in self._peers.values() if peer.state.region == self.region]
         if not self.is_told(now) or lead is self:
-            return [peer.state for peer in near]
+            return self.near_known()
         return [
             peer.state
-            for peer in near
+            for peer in self._near_peers()
             if peer.state.name == lead.name
             or (not peer.state.hears_lead and now - peer.state_at <= UNTOLD_LIFE_S)
         ]
@@ -308,12 +301,11 @@
     def lost(self, now: float, within_s: float) -> dict[int, float]:
         """Return the seconds since VMs of the region lost backend servers of late, by token."""
         found: dict[int, float] = {}
-        for peer in self._peers.values():
-            if peer.state.region == self.region:
-                for token, age_s in peer.state.lost.items():
-                    age_s += now - peer.state_at
-                    if age_s < within_s:
-                        found[token] = min(age_s, found.get(token, age_s))
+        for peer in self._near_peers():
+            for token, age_s in peer.state.lost.items():
+                age_s += now - peer.state_at
+                if age_s < within_s:
+                    found[token] = min(age_s, found.get(token, age_s))
         return found
 
     def keepers(self, now: float, key: str, count: int) -> list[str]:
@@ -344,6 +336,9 @@
                 sums[token] = sums.get(token, 0) + count
         return sums
 
+    def _near_peers(self) -> list[_Peer]:
+        return [peer for peer in self._peers.values() if peer.state.region == self.region]
+
     def _is_up(self, now: float, peer: _Peer) -> bool:
         is_near = peer.state.region == self.region
         limit_s = self._near_silence_s(now) if is_near else FAR_SILENCE_S
--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -3,8 +3,9 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
+from typing import Any
 
 from hibiscushaven.discovery import KnownServer, Registry, RegistryNews
 from hibiscushaven.fleet import (
@@ -21,8 +22,10 @@
 from hibiscushaven.ini.fields import Endpoint
 from hibiscushaven.placement import Picker, PickerOptions, ServerLoads
 from hibiscushaven.process import Clock
-from hibiscushaven.routing import OperatorState
+from hibiscushaven.routing import OperatorState, ServiceOptions
 
+from .arrivals import ArrivalRates
+from .belief_log import BeliefLog
 from .options import GatewayOptions
 from .ports import PlatformStore, ServerListing, StoreError, VmAddress
 from .reader import StoreReader
@@ -66,15 +69,6 @@
 # two windows of 2 s, so that two thirds of it are used and the rest covers chance.
 SHIFT_PART_PER_S = 1 / 3
 
-# Weight of a new measurement of the arrivals, which is taken five times a second.
-ARRIVALS_SMOOTHING = 0.15
-
-# Change of the servers for each object from which on it is logged; some lines a minute.
-LOGGED_LEVEL_STEP = 0.5
-
-# Rates below this one are not told.
-LEAST_ARRIVALS_PER_S = 0.01
-
 # Longest pause of a backend server that was lost, and for how long its loss is told.
 LOSS_NEWS_S = 2.0
 
@@ -99,7 +93,7 @@
         self._store = store
         self._clock = clock
         self._on_operator = on_operator
-        self._take_arrivals = take_arrivals
+        self._arrivals = ArrivalRates(take_arrivals)
         self._on_address_gone = on_address_gone
         self._addresses: frozenset[Endpoint] = frozenset()
         self.registry = Registry()
@@ -117,16 +111,12 @@
         self._sequence = 0
         self._digest_sequence = 0
         self._digest_bytes = 0
-        self._logged_lead: str | None = None
-        self._logged_levels: dict[tuple[str, str], float] = {}
+        self._belief_log = BeliefLog()
         self._leads = asyncio.Event()
         self._is_leaving = False
         self._is_sending_soon = False
         self._far_sent_at = -1e6
         self._near_sent_at = -1e6
-        self._arrivals: dict[str, float] = {}
-        self._arrivals_at = 0.0
-        self._arrivals_told_at = -1e6
         self._has_diverged = False
         self._pulling: asyncio.Task[None] | None = None
         self._tasks: list[asyncio.Task[None]] = []
@@ -312,8 +302,7 @@
                 self._presume_cold(now - age_s, server_id, server)
 
     def _presume_cold(self, lost_at: float, server_id: str, server: KnownServer) -> None:
-        configuration = self._operator.configuration
-        options = configuration.services.get(server.record.service) if configuration else None
+        options = self._services().get(server.record.service)
         if options is not None:
             until = lost_at + LOSS_NEWS_S + options.warmup_s
             self.registry.mark_server_cold(server_id, until)
@@ -322,9 +311,7 @@
         now = self._clock.now()
         self._sequence += 1
         in_progress = self._own_in_progress()
-        has_arrivals = now - self._arrivals_told_at >= STATE_INTERVAL_S
-        if has_arrivals:
-            self._arrivals_told_at = now
+        has_arrivals = self._arrivals.try_tell(now)
         self.view.told.note_sent(self._sequence, in_progress)
         return VmState(
             name=self._options.name,
@@ -339,17 +326,23 @@
             capacity=self._options.capacity,
             hears_lead=self.view.is_told(now) or self.view.is_summing(now),
             can_read=self._reader.can_read,
-            operator_version=self._operator.version,
-            operator_age_s=now - self._reader.operator_confirmed_at,
-            servers_version=self.registry.version,
-            servers_age_s=now - self._reader.servers_confirmed_at,
+            **self._knowledge(now),
             in_progress=in_progress,
             lost=self._own_lost(now),
-            arrivals=self._own_arrivals() if has_arrivals else {},
+            arrivals=self._arrivals.by_token() if has_arrivals else {},
             has_arrivals=has_arrivals,
             slowness=self._own_reports(now),
         )
 
+    def _knowledge(self, now: float) -> dict[str, Any]:
+        """Return which versions this VM holds, and when they were read; fields of messages."""
+        return {
+            "operator_version": self._operator.version,
+            "operator_age_s": now - self._reader.operator_confirmed_at,
+            "servers_version": self.registry.version,
+            "servers_age_s": now - self._reader.servers_confirmed_at,
+        }
+
     def _own_lost(self, now: float) -> dict[int, float]:
         return {token_of(name): age for name, age in self.loads.lost(now, LOSS_NEWS_S).items()}
 
@@ -371,7 +364,9 @@
             self._far_sent_at = now
         if not listeners:
             return
-        datagram = encode(self._state())
+        self._send(encode(self._state()), listeners)
+
+    def _send(self, datagram: bytes, listeners: Iterable[VmState]) -> None:
         for listener in listeners:
             self._link.send(datagram, listener.peers_at)
 
@@ -380,9 +375,7 @@
         self._send_near(encode(self._state()))
 
     def _send_near(self, datagram: bytes) -> None:
-        for state in self.view.known():
-            if state.region == self._options.region:
-                self._link.send(datagram, state.peers_at)
+        self._send(datagram, self.view.near_known())
 
     def _digest(self, now: float) -> RegionDigest:
         self._digest_sequence += 1
@@ -392,7 +385,7 @@
             self._incarnation,
             self._digest_sequence,
             self.view.near_in_progress(now, self._own_in_progress()),
-            self.view.arrivals(now, self._own_arrivals()),
+            self.view.arrivals(now, self._arrivals.by_token()),
         )
 
     def _near_digest(self, now: float) -> RegionDigest:
@@ -403,22 +396,19 @@
             sequences=self.view.sequences(now),
             interval_s=self._digest_interval_s(),
             peers_at=str(self._options.peers_at),
-            operator_version=self._operator.version,
-            operator_age_s=now - self._reader.operator_confirmed_at,
-            servers_version=self.registry.version,
-            servers_age_s=now - self._reader.servers_confirmed_at,
+            **self._knowledge(now),
             lost={**lost, **own_lost},
             slowness={**self.view.reports(now), **self._own_reports(now)},
         )
 
     def _send_far_digest(self, now: float) -> None:
         listeners = self.view.far_listeners(now)
+        if not listeners:
+            return
         digest = self._digest(now)
         if self.view.is_summing(now):
             digest = replace(digest, sequences=self.view.sequences(now))
-        datagram = encode(digest)
-        for state in listeners:
-            self._link.send(datagram, state.peers_at)
+        self._send(encode(digest), listeners)
 
     async def _sum_up(self) -> None:
         """Tell the VMs of a large region what is in progress, while this VM leads it."""
@@ -437,9 +427,6 @@
         vms, link_mbps = self.view.near_count, self._options.link_mbps
         return digest_interval_s(vms, self._digest_bytes, link_mbps)
 
-    def _own_arrivals(self) -> dict[int, float]:
-        return {token_of(name): rate for name, rate in self._arrivals.items()}
-
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(DIGEST_INTERVAL_S)
@@ -452,15 +439,19 @@
         if self.registry.expire(now):
             self._on_servers("expiry")
         self._note_own_lost(now)
-        self._measure_arrivals(now)
-        self.picker.move_shares(now, self._own_arrivals())
+        self._arrivals.measure(now)
+        self.picker.move_shares(now, self._arrivals.by_token())
         is_summing = self.view.is_summing(now)
         if is_summing:
             self._leads.set()
         else:
             self._leads.clear()
         is_told = is_summing or self.view.is_told(now)
-        self._log_beliefs(now, is_told)
+        self._belief_log.note_lead(
+            self.view.lead(now).name if is_told else None, self.view.near_count + 1
+        )
+        for service in self._services():
+            self._belief_log.note_copies(service, self.picker.copy_levels(service))
         far_interval_s = TOLD_STATE_INTERVAL_S if is_told else FAR_STATE_INTERVAL_S
         is_far = now - self._far_sent_at >= far_interval_s
         # The next step comes a whole interval later.
@@ -469,39 +460,15 @@
         if self.view.is_lead(now):
             self._send_far_digest(now)
 
-    def _log_beliefs(self, now: float, is_told: bool) -> None:
-        """Log who sums up the region, and how many servers know each object, on a change."""
-        lead = self.view.lead(now).name if is_told else None
-        if lead != self._logged_lead:
-            self._logged_lead = lead
-            _LOG.info("lead changed", extra={"lead": lead, "vms": self.view.near_count + 1})
-        configuration = self._operator.configuration
-        for service in configuration.services if configuration is not None else ():
-            for region, level in self.picker.copy_levels(service).items():
-                logged = self._logged_levels.get((service, region), 1.0)
-                if abs(level - logged) >= LOGGED_LEVEL_STEP:
-                    self._logged_levels[service, region] = level
-                    _LOG.info(
-                        "copies changed",
-                        extra={"service": service, "region": region, "level": round(level, 2)},
-                    )
-
     def _note_own_lost(self, now: float) -> None:
         for server_id, age_s in self.loads.lost(now, LOSS_NEWS_S).items():
             server = self.registry.servers.get(server_id)
             if server is not None:
                 self._presume_cold(now - age_s, server_id, server)
 
-    def _measure_arrivals(self, now: float) -> None:
-        elapsed_s = now - self._arrivals_at
-        self._arrivals_at = now
-        counts = self._take_arrivals()
-        for service in {*counts, *self._arrivals}:
-            rate = counts.get(service, 0) / max(elapsed_s, DIGEST_INTERVAL_S / 2)
-            known = self._arrivals.get(service, 0.0)
-            self._arrivals[service] = known + ARRIVALS_SMOOTHING * (rate - known)
-            if self._arrivals[service] < LEAST_ARRIVALS_PER_S:
-                del self._arrivals[service]
+    def _services(self) -> Mapping[str, ServiceOptions]:
+        configuration = self._operator.configuration
+        return configuration.services if configuration is not None else {}
 
     def _rank(self, can_read: bool) -> int:
         return self.view.rank(self._clock.now(), can_read)
@@ -520,14 +487,10 @@
         if new < old:
             _LOG.error("older configuration ignored", extra={"version": new, "known": old})
             return
-        now = self._clock.now()
-        warmups = {}
-        if operator.configuration is not None:
-            services = operator.configuration.services.values()
-            warmups = {options.name: options.warmup_s for options in services}
-        for domain in known.evacuated - operator.evacuated:
-            self.registry.mark_cold(now, domain, warmups)
         self._operator = operator
+        warmups = {name: options.warmup_s for name, options in self._services().items()}
+        for domain in known.evacuated - operator.evacuated:
+            self.registry.mark_cold(self._clock.now(), domain, warmups)
         self.picker.set_operator(operator)
         self._on_operator(operator)
         _LOG.info(
--- a/src/hibiscushaven/gateway/tests/test_large_region.py
+++ b/src/hibiscushaven/gateway/tests/test_large_region.py
@@ -266,11 +266,7 @@
     fleet.play(2.0)
     fleet.down.add("serra-3")
     fleet.play(2.5)
-    leads = [
-        record.lead
-        for record in caplog.records
-        if record.getMessage() == "lead changed" and record.name.endswith("node")
-    ]
+    leads = [record.lead for record in caplog.records if record.getMessage() == "lead changed"]
     second = fleet.nodes["serra-0"].view.lead(fleet.clock.now()).name
     assert leads.count("serra-3") == 20
     assert leads.count(None) == 19 and leads.count(second) == 19
