Share reading of settings files and sockets with options

No change of behaviour but two texts: the gateway's settings wrote again how a file is read and which sections are missing, and now report both in the words of the other settings. The store's client and the pools of backend servers made their sockets alike. The two stand-ins of backend servers share their start and end.

--- a/src/hibiscushaven/delivery/pools.py
+++ b/src/hibiscushaven/delivery/pools.py
@@ -5,17 +5,20 @@
 import struct
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
 
 import aiohttp
 from aiohttp.client_reqrep import ClientRequest
 
+from hibiscushaven.process import socket_factory
+
 __all__ = ["NotSentError", "Pool", "Transmission"]
 
 _READ_BUFFER_BYTES = 64 * 1024
 
-# Socket option by which a close resets the connection: on, without a time to linger.
-_NO_LINGER = struct.pack("ii", 1, 0)
+# A close resets the connection (lingering on, for no time), which drops what was not delivered.
+# The network may hold a request for seconds and deliver it long after its attempt was given up,
+# to a server that must not get any more.
+_resetting_socket = socket_factory((socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)))
 
 
 class NotSentError(Exception):
@@ -144,19 +147,6 @@
             await self.close()
 
 
-def _resetting_socket(address: Any) -> socket.socket:
-    """Return a socket whose close drops what was not delivered yet.
-
-    The network may hold a request for seconds and deliver it long after its attempt was given
-    up, to a server that must not get any more.
-    """
-    family, kind, protocol, _, _ = address
-    made = socket.socket(family, kind, protocol)
-    made.setblocking(False)
-    made.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
-    return made
-
-
 def _session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
     trace = aiohttp.TraceConfig()
     trace.on_connection_reuseconn.append(_mark_reused)
--- a/src/hibiscushaven/gateway/settings.py
+++ b/src/hibiscushaven/gateway/settings.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
-from pathlib import Path
 from typing import Any
 
 from expression import Error, Ok, Result
@@ -11,12 +10,14 @@
 from hibiscushaven.ini import (
     Field,
     IniProblem,
+    check_missing,
     choice,
     duration,
     endpoint,
     integer,
     number,
     read_sections,
+    read_source,
     text,
 )
 from hibiscushaven.ini.fields import Endpoint, host
@@ -86,11 +87,7 @@
 
 def load_gateway_settings(path: str) -> Result[GatewaySettings, tuple[IniProblem, ...]]:
     """Read the settings of a file."""
-    try:
-        source = Path(path).read_text(encoding="utf-8")
-    except (OSError, ValueError) as error:
-        return Error((IniProblem("file", "", path, f"a text in UTF-8 that can be read ({error})"),))
-    return parse_gateway_settings(source)
+    return read_source(path).bind(parse_gateway_settings)
 
 
 def parse_gateway_settings(source: str) -> Result[GatewaySettings, tuple[IniProblem, ...]]:
@@ -105,17 +102,14 @@
     """
     sections, problems = read_sections(source, _LAYOUT)
     found = {section.kind: section.values for section in sections}
-    problems += tuple(_check(found))
+    problems += (*check_missing(sections, _REQUIRED), *_check_place(found.get("vm", {})))
     if problems:
         return Error(problems)
     return Ok(_settings(found))
 
 
-def _check(found: Mapping[str, Mapping[str, Any]]) -> Iterator[IniProblem]:
-    for kind in _REQUIRED:
-        if kind not in found:
-            yield IniProblem(kind, "", None, "a section of this name")
-    vm = found.get("vm", {})
+def _check_place(vm: Mapping[str, Any]) -> Iterator[IniProblem]:
+    """Report a failure domain that is not one of the VM's region."""
     pairs, domain, region = (vm.get(key) for key in ("failure_domains", "failure_domain", "region"))
     if pairs and domain and region and _regions(pairs).get(domain) != region:
         allowed = f"a failure domain of region {region!r} in failure_domains"
--- a/src/hibiscushaven/ini/__init__.py
+++ b/src/hibiscushaven/ini/__init__.py
@@ -14,6 +14,7 @@
     text,
 )
 from .sections import Section, read_sections
+from .source import check_missing, describe_read_error, read_source
 
 __all__ = [
     "Field",
@@ -21,12 +22,15 @@
     "Kind",
     "Section",
     "boolean",
+    "check_missing",
     "choice",
+    "describe_read_error",
     "digest",
     "duration",
     "endpoint",
     "integer",
     "number",
     "read_sections",
+    "read_source",
     "text",
 ]
--- a/src/hibiscushaven/platform/store.py
+++ b/src/hibiscushaven/platform/store.py
@@ -15,6 +15,7 @@
 from hibiscushaven.discovery import ServerRecord
 from hibiscushaven.gateway import ServerListing, StoreError, VmAddress
 from hibiscushaven.ini.fields import Endpoint
+from hibiscushaven.process import socket_factory
 from hibiscushaven.routing import Configuration, OperatorState
 
 from .decode import DecodeError, decode_configuration, decode_server
@@ -31,6 +32,12 @@
 
 # Probes of idle connections, so that one that has gone silent ends within about 3 s.
 _KEEPALIVE_IDLE_S, _KEEPALIVE_INTERVAL_S, _KEEPALIVE_PROBES = 1, 1, 2
+_probing_socket = socket_factory(
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
+)
 
 _OPERATOR, _SERVERS, _VMS = "op", "servers", "vms"
 _CONFIG_KEY = "config"
@@ -201,7 +208,7 @@
 
     def _open(self) -> aiohttp.ClientSession:
         if self._session is None:
-            connector = aiohttp.TCPConnector(limit=4, socket_factory=_socket)
+            connector = aiohttp.TCPConnector(limit=4, socket_factory=_probing_socket)
             self._session = aiohttp.ClientSession(
                 connector=connector, cookie_jar=aiohttp.DummyCookieJar(), trust_env=False
             )
@@ -220,17 +227,6 @@
             return self._configuration
 
 
-def _socket(address: Any) -> socket.socket:
-    family, kind, protocol, _, _ = address
-    made = socket.socket(family, kind, protocol)
-    made.setblocking(False)
-    made.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
-    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S)
-    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
-    return made
-
-
 def _value(row: Mapping[str, Any]) -> bytes:
     try:
         return base64.b64decode(row["Value"])
--- a/src/hibiscushaven/platform/tests/backend_standin.py
+++ b/src/hibiscushaven/platform/tests/backend_standin.py
@@ -6,7 +6,18 @@
 import struct
 
 
-class BackendStandIn:
+class _LoopbackServer:
+    """Serves connections on a free port."""
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return self._server.sockets[0].getsockname()[1]
+
+    async def close(self):
+        self._server.close()
+
+
+class BackendStandIn(_LoopbackServer):
     """Answers each request with the next script.
 
     A script is called with the request's head and the writer.
@@ -20,14 +31,6 @@
         self.requests = []
         self.connections = 0
         self.closed = asyncio.Event()
-        self._server = None
-
-    async def start(self):
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        return self._server.sockets[0].getsockname()[1]
-
-    async def close(self):
-        self._server.close()
 
     async def _serve(self, reader, writer):
         self.connections += 1
@@ -97,7 +100,7 @@
         raise ConnectionResetError
 
 
-class EarlyBackend:
+class EarlyBackend(_LoopbackServer):
     """Answers once it has the head of a request, and reads the body later.
 
     :ivar received: bytes that arrived on each connection.
@@ -107,14 +110,6 @@
     def __init__(self):
         self.received = []
         self.may_read = asyncio.Event()
-        self._server = None
-
-    async def start(self):
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        return self._server.sockets[0].getsockname()[1]
-
-    async def close(self):
-        self._server.close()
 
     async def _serve(self, reader, writer):
         number = len(self.received)
--- a/src/hibiscushaven/process/__init__.py
+++ b/src/hibiscushaven/process/__init__.py
@@ -4,5 +4,6 @@
 from .clock import Clock, SystemClock
 from .server import HttpServer
 from .signals import on_stop
+from .sockets import socket_factory
 
-__all__ = ["Clock", "ConnectionLimits", "HttpServer", "SystemClock", "on_stop"]
+__all__ = ["Clock", "ConnectionLimits", "HttpServer", "SystemClock", "on_stop", "socket_factory"]
--- a/src/hibiscushaven/settings/checks.py
+++ b/src/hibiscushaven/settings/checks.py
@@ -6,7 +6,7 @@
 
 from hibiscushaven.ini import IniProblem, Section
 
-__all__ = ["check_missing", "check_ports", "check_titles"]
+__all__ = ["check_ports", "check_titles"]
 
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]*")
 
@@ -24,14 +24,6 @@
             yield IniProblem(section.title, "", section.title, allowed)
 
 
-def check_missing(sections: Iterable[Section], wanted: Iterable[str]) -> Iterator[IniProblem]:
-    """Report kinds of sections that are missing."""
-    found = {section.kind for section in sections}
-    for kind in wanted:
-        if kind not in found:
-            yield IniProblem(kind, "", None, "this section")
-
-
 def check_ports(kind: str, values: Mapping[str, Any]) -> Iterator[IniProblem]:
     """Report that both interfaces of a VM are on one port."""
     if values and values["http_port"] == values["peer_port"]:
--- a/src/hibiscushaven/settings/deployment.py
+++ b/src/hibiscushaven/settings/deployment.py
@@ -9,11 +9,21 @@
 from expression import Error, Ok, Result
 
 from hibiscushaven.documents import parse_document
-from hibiscushaven.ini import Field, IniProblem, Section, integer, number, read_sections, text
+from hibiscushaven.ini import (
+    Field,
+    IniProblem,
+    Section,
+    check_missing,
+    describe_read_error,
+    integer,
+    number,
+    read_sections,
+    text,
+)
 from hibiscushaven.ini.fields import host
 from hibiscushaven.tablestore import VmEntry, VmState
 
-from .checks import check_missing, check_ports, check_titles
+from .checks import check_ports, check_titles
 from .vm import COMMON_LAYOUT, Settings, common_settings
 
 __all__ = ["Deployment", "FailureDomain", "is_deployment", "parse_deployment", "settings_for"]
@@ -214,13 +224,6 @@
             yield IniProblem(section.title, "document", path, allowed)
 
 
-def describe_read_error(error: OSError | ValueError) -> str:
-    """Return in a few words why a file cannot be read."""
-    if isinstance(error, UnicodeDecodeError):
-        return f"not UTF-8 at byte {error.start}"
-    return getattr(error, "strerror", None) or str(error)
-
-
 def _vms(domain: FailureDomain, ports: dict[str, int], common: dict) -> Iterator[Settings]:
     first = ipaddress.ip_address(domain.first_host)
     for number_ in range(domain.entry_vms):
--- a/src/hibiscushaven/settings/files.py
+++ b/src/hibiscushaven/settings/files.py
@@ -2,13 +2,12 @@
 
 from pathlib import Path
 
-from expression import Error, Ok, Result
+from expression import Error, Result
 
-from hibiscushaven.ini import IniProblem
+from hibiscushaven.ini import IniProblem, read_source
 
 from .deployment import (
     Deployment,
-    describe_read_error,
     is_deployment,
     parse_deployment,
     settings_for,
@@ -25,12 +24,12 @@
 
     :param vm: name of the VM, which a deployment file needs.
     """
-    return _read(path).bind(lambda source: _parse(source, path, vm))
+    return read_source(path).bind(lambda source: _parse(source, path, vm))
 
 
 def load_deployment(path: str) -> Result[Deployment, Problems]:
     """Read a deployment file."""
-    return _read(path).bind(lambda source: parse_deployment(source, Path(path).parent))
+    return read_source(path).bind(lambda source: parse_deployment(source, Path(path).parent))
 
 
 def _parse(source: str, path: str, vm: str | None) -> Result[Settings, Problems]:
@@ -43,11 +42,3 @@
     return parse_deployment(source, Path(path).parent).bind(
         lambda deployment: settings_for(deployment, vm)
     )
-
-
-def _read(path: str) -> Result[str, Problems]:
-    try:
-        return Ok(Path(path).read_text(encoding="utf-8"))
-    except (OSError, ValueError) as error:
-        allowed = f"a text in UTF-8 that can be read ({describe_read_error(error)})"
-        return Error((IniProblem("file", "", path, allowed),))
--- a/src/hibiscushaven/settings/vm.py
+++ b/src/hibiscushaven/settings/vm.py
@@ -5,10 +5,19 @@
 
 from expression import Error, Ok, Result
 
-from hibiscushaven.ini import Field, IniProblem, choice, integer, number, read_sections, text
+from hibiscushaven.ini import (
+    Field,
+    IniProblem,
+    check_missing,
+    choice,
+    integer,
+    number,
+    read_sections,
+    text,
+)
 from hibiscushaven.ini.fields import Endpoint, endpoint, host, url
 
-from .checks import check_missing, check_ports, check_titles
+from .checks import check_ports, check_titles
 
 __all__ = ["COMMON_LAYOUT", "LogSettings", "Settings", "common_settings", "parse_settings"]
 
