Show why a VM has old data: pulls, store reads, digests and loop lag as metrics

A VM that answers by an old configuration may be unable to fetch the changes, may not learn that it is behind, may have a reader that lacks them, or may be late itself. The metrics did not tell these apart: configuration version and age of the data were only in /v1/status, which nobody collects, and failed pulls and reads were not counted.

Lines about another VM wrote its name to the field vm, which holds the writer of each line. The writer was lost, and explain showed the line under the other VM. They use peer now.

--- a/src/hibiscushaven/gateway/daemon.py
+++ b/src/hibiscushaven/gateway/daemon.py
@@ -114,6 +114,7 @@
             self._on_operator,
             self._drain_arrival_counts,
             self._client.retire_connections,
+            self._metrics,
         )
         self._forwarder = Forwarder(
             self.node.picker,
--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -20,6 +20,7 @@
 )
 from hibiscushaven.fleet.messages import encode
 from hibiscushaven.ini.fields import Endpoint
+from hibiscushaven.metrics import Metrics
 from hibiscushaven.placement import Picker, PickerOptions, ServerLoads
 from hibiscushaven.process import Clock
 from hibiscushaven.routing import OperatorState, ServiceOptions
@@ -29,6 +30,7 @@
 from .ports import PlatformStore, ServerListing, StoreError, VmAddress
 from .reader import StoreReader
 from .state_change_logger import StateChangeLogger
+from .sync_reporter import SyncReporter
 
 __all__ = ["GatewayNode"]
 
@@ -89,6 +91,7 @@
     :param on_operator: called with each newer operator state.
     :param drain_arrival_counts: returns the requests of each service since its last call.
     :param on_address_removed: called with each address that no known backend server uses any more.
+    :param metrics: registry for the metrics of the node; by default they are not exposed.
     """
 
     def __init__(
@@ -99,6 +102,7 @@
         on_operator: Callable[[OperatorState], None],
         drain_arrival_counts: Callable[[], dict[str, int]],
         on_address_removed: Callable[[Endpoint], None] = lambda address: None,
+        metrics: Metrics | None = None,
     ) -> None:
         self._options = options
         self._store = store
@@ -114,6 +118,7 @@
         )
         self.picker = Picker(_picker_options(options), self.registry, self.view, self.loads)
         self._transport = FleetTransport(clock.now, self._on_message, self._make_sync_response)
+        self._reporter = SyncReporter(metrics or Metrics())
         self._reader = StoreReader(
             store,
             clock,
@@ -121,6 +126,7 @@
             self._on_listing,
             self._adopt_operator,
             self._send_state_to_region,
+            self._reporter,
         )
         self._operator = OperatorState()
         self._incarnation = random.getrandbits(31)
@@ -255,16 +261,20 @@
         if message.name == self._options.name:
             return
         if self.view.on_state(now, message):
-            _LOG.info("VM is up", extra={"vm": message.name, "region": message.region})
+            _LOG.info("VM is up", extra={"peer": message.name, "region": message.region})
             self._transport.send(encode(self._state()), message.peers_at)
         self._presume_lost_servers_cold(now, message.lost_server_ages_s)
         if message.region == self._options.region:
             self._compare_versions(now, message.name, message)
 
     def _on_digest(self, now: float, digest: RegionDigest) -> None:
-        if not self.view.on_digest(now, digest):
+        is_accepted = self.view.on_digest(now, digest)
+        is_local = digest.region == self._options.region
+        if is_local:
+            self._reporter.digest_received(is_accepted)
+        if not is_accepted:
             return
-        if digest.region == self._options.region:
+        if is_local:
             self._presume_lost_servers_cold(now, digest.lost_server_ages_s)
             self._compare_versions(now, digest.sender, digest)
         elif self.view.is_aggregating(now):
@@ -285,6 +295,7 @@
 
     async def _pull(self, name: str, peers_at: str) -> None:
         """Fetch newer data from a peer; request a read of the store if that fails."""
+        started = self._clock.now()
         try:
             response = await self._transport.pull(
                 peers_at,
@@ -293,12 +304,22 @@
                 PULL_TIMEOUT_S,
             )
         except (OSError, MessageError, TimeoutError) as error:
+            elapsed_s = self._clock.now() - started
+            self._reporter.pull_ended(elapsed_s, is_successful=False)
             _LOG.warning(
                 "cannot fetch changes from VM, will read the store",
-                extra={"vm": name, "why": repr(error)},
+                extra={
+                    "peer": name,
+                    "why": repr(error),
+                    "elapsed_s": round(elapsed_s, 3),
+                    "operator_version": self._operator.version,
+                    "servers_version": self.registry.version,
+                    "rank": self._reader_rank(self._reader.can_read),
+                },
             )
             self._reader.request_read()
             return
+        self._reporter.pull_ended(self._clock.now() - started, is_successful=True)
         if response.operator is not None:
             self._adopt_operator(response.operator, name)
         if response.servers is not None:
@@ -316,7 +337,7 @@
             # another checksum, and the next pull requests the complete list.
             _LOG.warning(
                 "checksum mismatch after server changes, will fetch all servers",
-                extra={"vm": source, "version": update.version},
+                extra={"peer": source, "version": update.version},
             )
             self._has_diverged = True
 
@@ -484,13 +505,16 @@
 
     async def _step_periodically(self) -> None:
         while True:
+            started = self._clock.now()
             await asyncio.sleep(DIGEST_INTERVAL_S)
-            self._step(self._clock.now())
+            now = self._clock.now()
+            self._reporter.loop_woke(now - started - DIGEST_INTERVAL_S)
+            self._step(now)
 
     def _step(self, now: float) -> None:
         """Expire old data, update rates and region shares, and send due states and digests."""
         for name in self.view.expire(now):
-            _LOG.info("VM went silent", extra={"vm": name})
+            _LOG.info("VM went silent", extra={"peer": name})
         if self.registry.expire(now):
             self._on_registry_change("expiry")
         self._presume_own_lost_servers_cold(now)
@@ -516,6 +540,16 @@
             self._send_state(to_all)
         if self.view.is_aggregator(now):
             self._send_remote_digest(now)
+        self._report_data_age(now)
+
+    def _report_data_age(self, now: float) -> None:
+        configuration = self._operator.configuration
+        self._reporter.data_checked(
+            configuration.version if configuration is not None else 0,
+            now - self._reader.operator_confirmed_at,
+            now - self._reader.servers_confirmed_at,
+            self._reader_rank(self._reader.can_read),
+        )
 
     def _presume_own_lost_servers_cold(self, now: float) -> None:
         for server_id, age_s in self.loads.lost_server_ages_s(now, LOST_SERVER_REPORT_S).items():
--- a/src/hibiscushaven/gateway/reader.py
+++ b/src/hibiscushaven/gateway/reader.py
@@ -10,6 +10,7 @@
 from hibiscushaven.routing import OperatorState
 
 from .ports import PlatformStore, ServerListing, StoreError
+from .sync_reporter import SyncReporter
 
 __all__ = ["StoreReader"]
 
@@ -51,6 +52,7 @@
     :param on_operator: called with the operator state and its source.
     :param on_availability_change: called when the store becomes unavailable or available to this
         VM, so that the VMs of the region can update their ranks.
+    :param reporter: counts the reads.
     """
 
     def __init__(
@@ -61,6 +63,7 @@
         on_listing: Callable[[ServerListing, float], None],
         on_operator: Callable[[OperatorState, str], None],
         on_availability_change: Callable[[], None],
+        reporter: SyncReporter,
     ) -> None:
         self._store = store
         self._now = clock.now
@@ -68,6 +71,7 @@
         self._on_listing = on_listing
         self._on_operator = on_operator
         self._on_availability_change = on_availability_change
+        self._reporter = reporter
         self._schedule = ReadSchedule()
         self._operator_confirmed_at = _NEVER
         self._servers_confirmed_at = _NEVER
@@ -124,13 +128,15 @@
                 min(wait_s, _check_interval_s(wait_s))
             ):
                 continue
+            started = self._now()
             try:
                 listing = await self._store.read_servers()
             except StoreError as error:
-                self._on_error("servers", error)
+                self._on_error("servers", error, started)
                 continue
             self._on_success()
             now = self._now()
+            self._reporter.store_read_ended("servers", now - started, is_successful=True)
             gap_s = now - self._servers_confirmed_at
             self._servers_confirmed_at = now
             self._on_listing(listing, gap_s)
@@ -151,13 +157,17 @@
                 await asyncio.sleep(_check_interval_s(wait_s))
                 continue
             is_stale = age_s >= OPERATOR_MAX_AGE_S
+            started = self._now()
             try:
                 operator = await self._store.read_operator(0.0 if is_stale else OPERATOR_WAIT_S)
             except StoreError as error:
-                self._on_error("operator", error)
+                self._on_error("operator", error, started)
                 await asyncio.sleep(CHECK_INTERVAL_S * random.uniform(1.0, 3.0))
                 continue
             self._operator_confirmed_at = self._now()
+            self._reporter.store_read_ended(
+                "operator", self._operator_confirmed_at - started, is_successful=True
+            )
             self._on_operator(operator, "store")
 
     async def _wait_for_request(self, seconds: float) -> bool:
@@ -170,7 +180,8 @@
         self._read_requested.clear()
         return True
 
-    def _on_error(self, table: str, error: StoreError) -> None:
+    def _on_error(self, table: str, error: StoreError, started: float) -> None:
+        self._reporter.store_read_ended(table, self._now() - started, is_successful=False)
         if self.can_read:
             _LOG.warning("store lost", extra={"table": table, "why": str(error)})
             self._schedule.record_failure(self._now())
--- a/src/hibiscushaven/gateway/tests/support.py
+++ b/src/hibiscushaven/gateway/tests/support.py
@@ -61,10 +61,11 @@
     return OperatorState(version, Configuration(configuration, (), services), frozenset(evacuated))
 
 
-def make_node(name="vm-1", clock=None, store=None, adopted=None):
+def make_node(name="vm-1", clock=None, store=None, adopted=None, metrics=None):
     """Return a node that is not started, so that no background task runs.
 
     :param adopted: list that receives each adopted operator state.
+    :param metrics: registry for the node's metrics.
     """
     address = Endpoint("127.0.0.1", 1)
     options = GatewayOptions(name, "serra", "serra-a", REGIONS, address, address, address, address)
@@ -74,4 +75,5 @@
         clock or VirtualClock(),
         (adopted if adopted is not None else []).append,
         dict,
+        metrics=metrics,
     )
--- a/src/hibiscushaven/gateway/tests/test_reader.py
+++ b/src/hibiscushaven/gateway/tests/test_reader.py
@@ -6,6 +6,8 @@
 
 from hibiscushaven.gateway import ServerListing
 from hibiscushaven.gateway.reader import StoreReader
+from hibiscushaven.gateway.sync_reporter import SyncReporter
+from hibiscushaven.metrics import Metrics
 from hibiscushaven.polling import RANK_DELAY_S
 from hibiscushaven.process.tests.support import VirtualClock
 
@@ -28,6 +30,7 @@
             lambda listing, gap_s: self.listings.append((listing, gap_s)),
             lambda operator, source: self.operators.append(operator),
             lambda: self.availability_changes.append(True),
+            SyncReporter(Metrics()),
         )
 
 
--- a/src/hibiscushaven/logs/explain.py
+++ b/src/hibiscushaven/logs/explain.py
@@ -11,6 +11,7 @@
 STATE_MESSAGES = frozenset(
     {
         "backend servers changed",
+        "cannot fetch changes from VM, will read the store",
         "gateway started",
         "gateway stopping",
         "operator state adopted",
