--- /dev/null
+++ b/src/hibiscushaven/gateway/tests/simulated_region.py
@@ -0,0 +1,190 @@
+"""A region of running nodes in virtual time, with a store and links that delay packets."""
+
+import asyncio
+from dataclasses import replace
+
+from hibiscushaven.bench.virtual_time import run_virtual
+from hibiscushaven.fleet import token_of
+from hibiscushaven.fleet.messages import decode
+from hibiscushaven.gateway import GatewayNode, GatewayOptions, ServerListing, StoreError, VmAddress
+from hibiscushaven.ini.fields import Endpoint
+
+from .support import REGIONS, FakeStore, make_operator, make_record
+
+# One-way delays of idle links, between VMs of a region and to the store of another region.
+LOCAL_DELAY_S = 0.0005
+STORE_DELAY_S = 0.035
+
+# Time limit of one call of the store.
+STORE_TIMEOUT_S = 0.8
+
+# Time after which the VMs have found each other and their aggregator.
+SETTLE_S = 4.0
+
+
+class LoopClock:
+    """Clock of the running event loop."""
+
+    def now(self):
+        return asyncio.get_running_loop().time()
+
+    def unix(self):
+        return self.now()
+
+
+class SimulatedStore(FakeStore):
+    """The region's store as one VM reaches it over its link; each call opens a connection."""
+
+    def __init__(self, region, name):
+        super().__init__()
+        self._region = region
+        self._name = name
+        self._seen_version = 0
+
+    async def read_operator(self, wait_s):
+        region = self._region
+        await self._travel(3)
+        if region.operator.version == self._seen_version and wait_s:
+            await region.wait_for_change(wait_s)
+        operator = region.operator
+        await self._travel(1)
+        self._seen_version = operator.version
+        return operator
+
+    async def read_servers(self):
+        await self._travel(3)
+        listing = self._region.listing
+        await self._travel(1)
+        return listing
+
+    async def list_vms(self):
+        return tuple(
+            VmAddress(name, str(node._options.peers_at))
+            for name, node in self._region.nodes.items()
+        )
+
+    async def _travel(self, times):
+        """Wait for packets that cross the link one after the other."""
+        self._call()
+        delay_s = STORE_DELAY_S + self._region.delays_s.get(self._name, 0.0)
+        if 4 * delay_s > STORE_TIMEOUT_S:
+            await asyncio.sleep(STORE_TIMEOUT_S * times / 4)
+            if times == 1:
+                raise StoreError("no response in time")
+        else:
+            await asyncio.sleep(delay_s * times)
+
+
+class SimulatedTransport:
+    """Transport of one VM; pulls open a connection."""
+
+    def __init__(self, region, name):
+        self._region = region
+        self._name = name
+
+    async def start(self, address):
+        pass
+
+    def close(self):
+        pass
+
+    def send(self, datagram, address):
+        peer = self._region.name_at(address)
+        asyncio.get_running_loop().call_later(
+            self._delay_s(peer), self._region.deliver, datagram, peer
+        )
+
+    async def pull(self, address, operator_version, servers_version, timeout_s):
+        peer = self._region.name_at(address)
+        async with asyncio.timeout(timeout_s):
+            await asyncio.sleep(3 * self._delay_s(peer))
+            response = self._region.nodes[peer]._make_sync_response(
+                operator_version, servers_version
+            )
+            await asyncio.sleep(self._delay_s(peer))
+        return response
+
+    def _delay_s(self, peer):
+        delays_s = self._region.delays_s
+        return LOCAL_DELAY_S + delays_s.get(self._name, 0.0) + delays_s.get(peer, 0.0)
+
+
+class SimulatedRegion:
+    """Nodes of one region, which register, elect an aggregator and read the store.
+
+    :param size: number of VMs.
+    :ivar delays_s: time that each packet waits at the link of a VM, by name; 0 by default.
+    """
+
+    def __init__(self, size):
+        self.delays_s = {}
+        self.operator = make_operator(10)
+        self.listing = ServerListing(10, (make_record("s1"), make_record("s2")))
+        self.nodes = {}
+        self._changed = asyncio.Event()
+        for number in range(size):
+            self._add(f"serra-{number}", Endpoint("10.0.0.1", 1000 + number))
+        self._names = {str(node._options.peers_at): name for name, node in self.nodes.items()}
+
+    def _add(self, name, address):
+        # The VM with the most capacity becomes the aggregator.
+        capacity = 2.0 if name == "serra-3" else 0.2
+        options = GatewayOptions(
+            name, "serra", "serra-a", REGIONS, address, address, address, address, capacity=capacity
+        )
+        store = SimulatedStore(self, name)
+        node = GatewayNode(options, store, LoopClock(), lambda operator: None, dict)
+        node._transport = SimulatedTransport(self, name)
+        self.nodes[name] = node
+
+    def last_reader(self):
+        """Return the VM that reads the store after all others."""
+        return max(self.nodes, key=token_of)
+
+    def name_at(self, address):
+        return self._names[address]
+
+    def deliver(self, datagram, name):
+        self.nodes[name]._on_message(decode(datagram))
+
+    async def wait_for_change(self, wait_s):
+        try:
+            async with asyncio.timeout(wait_s):
+                await self._changed.wait()
+        except TimeoutError:
+            pass
+
+    def put_configuration(self, version):
+        """Store another configuration, as an operator does."""
+        self.operator = make_operator(self.listing.version + 1, configuration=version)
+        self.listing = replace(self.listing, version=self.operator.version)
+        self._notify()
+
+    def put_leaving(self, server_id):
+        """Store that a backend server leaves."""
+        records = tuple(
+            replace(record, is_leaving=True) if record.server_id == server_id else record
+            for record in self.listing.records
+        )
+        self.listing = ServerListing(self.listing.version + 1, records)
+
+    def _notify(self):
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    @classmethod
+    def run(cls, size, scenario):
+        """Run a scenario with a region that has settled."""
+
+        async def main():
+            region = cls(size)
+            for node in region.nodes.values():
+                await node.start()
+            await asyncio.sleep(SETTLE_S)
+            try:
+                return await scenario(region)
+            finally:
+                for node in region.nodes.values():
+                    await node.close()
+
+        return run_virtual(main())
