Read the operator state at once when a peer does not deliver a change in time

Cause: a pull of newer data has 0.4 s, and the read of the store that is requested when it fails applied to the backend servers only. The operator state was assumed to be 3 s old, and became due at 2 s plus 0.3 s for each VM ranked before this one: at once in a region of four VMs, after nearly 9 s at the last VM of 34.

The timers ran 1 to 17 ms late, so the process itself was not late.

Ruled out: a reader without the change (the first VM of each region had it at 2.18 to 2.45 s), a VM that does not learn that it is behind (it pulled each 0.47 s).

Change: a VM that is behind requests a read of exactly what it lacks, whatever its rank. The request stays until a read succeeds or a peer delivers, with the backoff after failures in between, and is logged with the versions and the rank. Pulls are a module of their own.

--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -11,7 +11,6 @@
 from hibiscushaven.fleet import (
     FleetTransport,
     FleetView,
-    MessageError,
     RegionDigest,
     SyncResponse,
     VmState,
@@ -28,6 +27,7 @@
 from .arrivals import ArrivalRates
 from .options import GatewayOptions
 from .ports import PlatformStore, ServerListing, StoreError, VmAddress
+from .puller import PeerPuller
 from .reader import StoreReader
 from .state_change_logger import StateChangeLogger
 from .sync_reporter import SyncReporter
@@ -60,10 +60,6 @@
 # Interval between digests sent to the other regions.
 DIGEST_INTERVAL_S = 0.2
 
-# Time limit for fetching changes from a peer of the region, whose round-trip time is about a
-# millisecond.
-PULL_TIMEOUT_S = 0.4
-
 # Mean interval between attempts to register in the store and list the other VMs.
 REGISTER_RETRY_S = 1.0
 
@@ -128,6 +124,9 @@
             self._send_state_to_region,
             self._reporter,
         )
+        self._puller = PeerPuller(
+            self._pull, clock, self._reporter, self._on_sync_response, self._on_pull_delay
+        )
         self._operator = OperatorState()
         self._incarnation = random.getrandbits(31)
         self._sequence = 0
@@ -140,7 +139,8 @@
         self._sent_to_all_at = -1e6
         self._state_sent_at = -1e6
         self._has_diverged = False
-        self._pull_task: asyncio.Task[None] | None = None
+        self._newest_operator_version = 0
+        self._newest_servers_version = 0
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -196,10 +196,10 @@
 
     async def close(self) -> None:
         """Stop all tasks and close the sockets."""
-        pull_tasks = [self._pull_task] if self._pull_task is not None else []
-        for task in (*self._tasks, *pull_tasks):
+        for task in self._tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, *pull_tasks, return_exceptions=True)
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._puller.close()
         await self._reader.close()
         self._transport.close()
 
@@ -286,44 +286,51 @@
             self._reader.confirm_operator(now - state.operator_age_s)
         if state.servers_version == self.registry.version:
             self._reader.confirm_servers(now - state.servers_age_s)
+        self._newest_operator_version = max(self._newest_operator_version, state.operator_version)
+        self._newest_servers_version = max(self._newest_servers_version, state.servers_version)
         is_peer_newer = (
             state.operator_version > self._operator.version
             or state.servers_version > self.registry.version
         )
-        if is_peer_newer and (self._pull_task is None or self._pull_task.done()):
-            self._pull_task = asyncio.create_task(self._pull(name, state.peers_at))
+        if is_peer_newer:
+            self._puller.start(name, state.peers_at)
+
+    async def _pull(self, address: str, timeout_s: float) -> SyncResponse:
+        """Fetch the data from a peer that is newer than that of this VM."""
+        return await self._transport.pull(
+            address,
+            self._operator.version,
+            0 if self._has_diverged else self.registry.version,
+            timeout_s,
+        )
 
-    async def _pull(self, name: str, peers_at: str) -> None:
-        """Fetch newer data from a peer; request a read of the store if that fails."""
-        started = self._clock.now()
-        try:
-            response = await self._transport.pull(
-                peers_at,
-                self._operator.version,
-                0 if self._has_diverged else self.registry.version,
-                PULL_TIMEOUT_S,
-            )
-        except (OSError, MessageError, TimeoutError) as error:
-            elapsed_s = self._clock.now() - started
-            self._reporter.pull_ended(elapsed_s, is_successful=False)
-            _LOG.warning(
-                "cannot fetch changes from VM, will read the store",
-                extra={
-                    "peer": name,
-                    "why": repr(error),
-                    "elapsed_s": round(elapsed_s, 3),
-                    "operator_version": self._operator.version,
-                    "servers_version": self.registry.version,
-                    "rank": self._reader_rank(self._reader.can_read),
-                },
-            )
-            self._reader.request_read()
-            return
-        self._reporter.pull_ended(self._clock.now() - started, is_successful=True)
+    def _on_sync_response(self, response: SyncResponse, source: str) -> None:
         if response.operator is not None:
-            self._adopt_operator(response.operator, name)
+            self._adopt_operator(response.operator, source)
         if response.servers is not None:
-            self._adopt_servers(response.servers, name)
+            self._adopt_servers(response.servers, source)
+
+    def _on_pull_delay(self, peer: str) -> None:
+        """Request reads of what this VM still lacks although a peer has it."""
+        is_operator_old = self._newest_operator_version > self._operator.version
+        are_servers_old = self._newest_servers_version > self.registry.version
+        if not (is_operator_old or are_servers_old):
+            return
+        _LOG.info(
+            "changes are late, will read the store",
+            extra={
+                "peer": peer,
+                "operator_version": self._operator.version,
+                "newest_operator_version": self._newest_operator_version,
+                "servers_version": self.registry.version,
+                "newest_servers_version": self._newest_servers_version,
+                "rank": self._reader_rank(self._reader.can_read),
+            },
+        )
+        if is_operator_old:
+            self._reader.request_operator_read()
+        if are_servers_old:
+            self._reader.request_servers_read()
 
     def _adopt_servers(self, update: RegistryUpdate, source: str) -> None:
         """Apply a peer's update of the backend servers if it is newer and consistent."""
@@ -579,6 +586,8 @@
             _LOG.error("older configuration ignored", extra={"version": new, "known": old})
             return
         self._operator = operator
+        if operator.version >= self._newest_operator_version:
+            self._reader.cancel_operator_read()
         warmups = {name: options.warmup_s for name, options in self._services().items()}
         for domain in previous.evacuated - operator.evacuated:
             self.registry.mark_domain_cold(self._clock.now(), domain, warmups)
@@ -596,6 +605,8 @@
         self._send_state()
 
     def _on_registry_change(self, source: str) -> None:
+        if self.registry.version >= self._newest_servers_version:
+            self._reader.cancel_servers_read()
         names = frozenset(self.registry.servers)
         self.loads.retain_only(names)
         self.picker.retain_only(names)
--- a/src/hibiscushaven/gateway/reader.py
+++ b/src/hibiscushaven/gateway/reader.py
@@ -1,6 +1,7 @@
 """Reads of the platform's store by one VM, coordinated with the others of its region."""
 
 import asyncio
+import contextlib
 import logging
 import random
 from collections.abc import Callable
@@ -29,10 +30,6 @@
 # ranked before this one fail.
 MAX_CHECK_INTERVAL_S = 0.5
 
-# Least assumed age of the operator state after a failed pull from a peer with newer data. It
-# exceeds OPERATOR_MAX_AGE_S, so that this VM reads the state soon.
-ASSUMED_STALE_AGE_S = 3.0
-
 _NEVER = -1e6
 
 
@@ -76,7 +73,8 @@
         self._operator_confirmed_at = _NEVER
         self._servers_confirmed_at = _NEVER
         self._started_at = _NEVER
-        self._read_requested = asyncio.Event()
+        self._servers_requested = asyncio.Event()
+        self._operator_requested = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -114,19 +112,33 @@
         """Record that another VM knows the same backend servers, read at ``read_at``."""
         self._servers_confirmed_at = max(self._servers_confirmed_at, read_at)
 
-    def request_read(self) -> None:
-        """Request a read of the store, since a pull of newer data from a peer failed."""
-        self._read_requested.set()
-        self._operator_confirmed_at = min(
-            self._operator_confirmed_at, self._now() - ASSUMED_STALE_AGE_S
-        )
+    def request_servers_read(self) -> None:
+        """Request a read of the backend servers, whatever the rank of this VM.
+
+        Explanation
+        ===========
+
+        The request stays until a read succeeds or ``cancel_servers_read`` is called.
+        """
+        self._servers_requested.set()
+
+    def cancel_servers_read(self) -> None:
+        """Cancel a requested read, since the data has arrived from a peer."""
+        self._servers_requested.clear()
+
+    def request_operator_read(self) -> None:
+        """Request a read of the operator state, as ``request_servers_read`` does."""
+        self._operator_requested.set()
+
+    def cancel_operator_read(self) -> None:
+        """Cancel a requested read, since the operator state has arrived from a peer."""
+        self._operator_requested.clear()
 
     async def _read_servers(self) -> None:
         while True:
             wait_s = self._wait_s()
-            if wait_s > 0 and not await self._wait_for_request(
-                min(wait_s, _check_interval_s(wait_s))
-            ):
+            if wait_s > 0:
+                await _wait_for(self._servers_requested, min(wait_s, _check_interval_s(wait_s)))
                 continue
             started = self._now()
             try:
@@ -139,12 +151,18 @@
             self._reporter.store_read_ended("servers", now - started, is_successful=True)
             gap_s = now - self._servers_confirmed_at
             self._servers_confirmed_at = now
+            self._servers_requested.clear()
             self._on_listing(listing, gap_s)
 
     def _wait_s(self) -> float:
         """Return the time until this VM should read the backend servers."""
         known_at = max(self._servers_confirmed_at, self._started_at - READ_INTERVAL_S)
-        return self._schedule.wait_s(self._now(), self._reader_rank(self.can_read), known_at)
+        return self._schedule.wait_s(
+            self._now(),
+            self._reader_rank(self.can_read),
+            known_at,
+            self._servers_requested.is_set(),
+        )
 
     async def _read_operator(self) -> None:
         while True:
@@ -153,10 +171,11 @@
             rank = self._reader_rank(self.can_read)
             is_reader = rank == 0 and self.can_read
             wait_s = OPERATOR_MAX_AGE_S + RANK_DELAY_S * rank - age_s
-            if not is_reader and wait_s > 0:
-                await asyncio.sleep(_check_interval_s(wait_s))
+            is_requested = self._operator_requested.is_set()
+            if not (is_reader or is_requested) and wait_s > 0:
+                await _wait_for(self._operator_requested, _check_interval_s(wait_s))
                 continue
-            is_stale = age_s >= OPERATOR_MAX_AGE_S
+            is_stale = is_requested or age_s >= OPERATOR_MAX_AGE_S
             started = self._now()
             try:
                 operator = await self._store.read_operator(0.0 if is_stale else OPERATOR_WAIT_S)
@@ -165,21 +184,12 @@
                 await asyncio.sleep(CHECK_INTERVAL_S * random.uniform(1.0, 3.0))
                 continue
             self._operator_confirmed_at = self._now()
+            self._operator_requested.clear()
             self._reporter.store_read_ended(
                 "operator", self._operator_confirmed_at - started, is_successful=True
             )
             self._on_operator(operator, "store")
 
-    async def _wait_for_request(self, seconds: float) -> bool:
-        """Wait for a request to read; return whether one came within the time."""
-        try:
-            async with asyncio.timeout(seconds):
-                await self._read_requested.wait()
-        except TimeoutError:
-            return False
-        self._read_requested.clear()
-        return True
-
     def _on_error(self, table: str, error: StoreError, started: float) -> None:
         self._reporter.store_read_ended(table, self._now() - started, is_successful=False)
         if self.can_read:
@@ -197,6 +207,16 @@
         self._on_availability_change()
 
 
+async def _wait_for(request: asyncio.Event, seconds: float) -> None:
+    """Wait for a time, or until a request is made that was not there before."""
+    if request.is_set():
+        await asyncio.sleep(seconds)
+        return
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(seconds):
+            await request.wait()
+
+
 def _check_interval_s(wait_s: float) -> float:
     """Return the time until the next check, given the time until the read is due."""
     return max(CHECK_INTERVAL_S, min(MAX_CHECK_INTERVAL_S, wait_s / 2))
--- a/src/hibiscushaven/gateway/tests/test_node.py
+++ b/src/hibiscushaven/gateway/tests/test_node.py
@@ -141,7 +141,7 @@
             servers_version=99, operator_version=99,
         )  # fmt: skip
         node._on_message(remote)
-        assert node._pull_task is None
+        assert not node._puller.is_pulling
 
     run_in_loop(scenario)
 
@@ -161,13 +161,13 @@
             return peer._make_sync_response(operator_version, servers_version)
 
         node._transport.pull = pull
-        await node._pull("vm-2", "127.0.0.1:9")
+        await node._puller.pull_from("vm-2", "127.0.0.1:9")
         assert node.registry.version == 10
-        await node._pull("vm-2", "127.0.0.1:9")
+        await node._puller.pull_from("vm-2", "127.0.0.1:9")
         assert requested_versions == [10, 0]
         assert node.registry.servers == peer.registry.servers
         node.registry.replace_all(2.0, 15, [make_record("s1")], gap_s=0.5)
-        await node._pull("vm-2", "127.0.0.1:9")
+        await node._puller.pull_from("vm-2", "127.0.0.1:9")
         assert requested_versions[-1] == 20
 
     asyncio.run(scenario())
--- a/src/hibiscushaven/gateway/tests/test_reader.py
+++ b/src/hibiscushaven/gateway/tests/test_reader.py
@@ -9,6 +9,7 @@
 from hibiscushaven.gateway.sync_reporter import SyncReporter
 from hibiscushaven.metrics import Metrics
 from hibiscushaven.polling import RANK_DELAY_S
+from hibiscushaven.polling.schedule import MAX_BACKOFF_S
 from hibiscushaven.process.tests.support import VirtualClock
 
 from .support import FakeStore, make_operator, make_record
@@ -87,14 +88,48 @@
 def test_requested_read_does_not_wait_for_its_rank():
     """Guards against stale data when the peer with the newer data cannot be reached."""
     harness = ReaderHarness(rank=3)
-    run(harness, before=confirm_all(harness), after=lambda reader: reader.request_read())
+    run(harness, before=confirm_all(harness), after=lambda reader: reader.request_servers_read())
+    assert len(harness.listings) == 1 and harness.operators == []
+
+
+def test_requested_read_of_the_operator_state_does_not_wait_for_its_rank():
+    """Guards against an old configuration at a VM of high rank whose pulls are slow."""
+    harness = ReaderHarness(rank=33)
+    run(harness, before=confirm_all(harness), after=lambda reader: reader.request_operator_read())
+    assert len(harness.operators) == 1 and harness.listings == []
+
+
+def test_requested_read_is_repeated_after_a_failure_and_its_backoff():
+    """Guards against a request that is forgotten when the store does not answer once."""
+    harness = ReaderHarness(rank=33)
+    harness.store.is_down = True
+    run(harness, before=confirm_all(harness), after=lambda reader: reader.request_servers_read())
+    assert harness.listings == [] and harness.store.calls == 1
+    assert 0 < harness.reader._wait_s() <= MAX_BACKOFF_S
+    harness.store.is_down = False
+    harness.clock.time += MAX_BACKOFF_S
+    run(harness, before=confirm_all(harness))
     assert len(harness.listings) == 1
 
 
+def test_cancelled_read_is_not_made():
+    """Guards against reads of data that a peer has delivered meanwhile."""
+    harness = ReaderHarness(rank=33)
+
+    def request_and_cancel(reader):
+        reader.request_servers_read()
+        reader.cancel_servers_read()
+        reader.request_operator_read()
+        reader.cancel_operator_read()
+
+    run(harness, before=confirm_all(harness), after=request_and_cancel)
+    assert harness.store.calls == 0
+
+
 def test_requested_read_is_not_counted_as_an_outage():
     """Guards against a grace time for missing records although the store was available."""
     harness = ReaderHarness(rank=3)
-    run(harness, before=confirm_all(harness), after=lambda reader: reader.request_read())
+    run(harness, before=confirm_all(harness), after=lambda reader: reader.request_servers_read())
     _, gap_s = harness.listings[0]
     assert gap_s < 1.0
 
--- a/src/hibiscushaven/gateway/tests/test_sync_reporter.py
+++ b/src/hibiscushaven/gateway/tests/test_sync_reporter.py
@@ -25,9 +25,10 @@
     finally:
         root.handlers[:] = handlers
         root.setLevel(level)
-    (line,) = [item for item in lines if item["message"].startswith("cannot fetch")]
-    assert (line["vm"], line["peer"]) == ("vm-1", "vm-2")
-    assert (line["operator_version"], line["servers_version"], line["rank"]) == (10, 0, 0)
+    failed, late = [item for item in lines if "peer" in item]
+    assert failed["message"] == "cannot fetch changes from VM"
+    assert (failed["vm"], failed["peer"]) == (late["vm"], late["peer"]) == ("vm-1", "vm-2")
+    assert (late["operator_version"], late["newest_operator_version"], late["rank"]) == (10, 20, 0)
     assert 'sync_pulls_total{class="failed"} 1' in to_text(metrics)
 
 
@@ -37,7 +38,11 @@
 
     node._adopt_operator(make_operator(10), "test")
     node._transport.pull = pull
-    await node._pull("vm-2", "127.0.0.1:9")
+    peer = make_node("vm-2")
+    peer._adopt_operator(make_operator(20), "test")
+    node.view.on_state(node._clock.now(), peer._state())
+    node._newest_operator_version = 20
+    await node._puller.pull_from("vm-2", "127.0.0.1:9")
 
 
 def test_age_and_version_of_the_data_are_exposed():
--- a/src/hibiscushaven/logs/explain.py
+++ b/src/hibiscushaven/logs/explain.py
@@ -11,7 +11,8 @@
 STATE_MESSAGES = frozenset(
     {
         "backend servers changed",
-        "cannot fetch changes from VM, will read the store",
+        "cannot fetch changes from VM",
+        "changes are late, will read the store",
         "gateway started",
         "gateway stopping",
         "operator state adopted",
--- a/src/hibiscushaven/polling/schedule.py
+++ b/src/hibiscushaven/polling/schedule.py
@@ -32,8 +32,8 @@
     reason, the data of all VMs ages and the VM of the next rank reads. No consensus is needed:
     two concurrent readers only cost a few additional calls.
 
-    A VM that is behind a peer and cannot fetch the changes from it reads at once, whatever its
-    schedule.
+    A VM that is behind a peer and cannot fetch the changes from it in time requests a read, which
+    does not wait for its rank, only for the backoff after a failure.
 
     Examples
     ========
@@ -43,6 +43,8 @@
     0.3
     >>> schedule.wait_s(now=10.0, rank=1, confirmed_at=9.8)
     0.6
+    >>> schedule.wait_s(now=10.0, rank=1, confirmed_at=9.8, is_requested=True)
+    0.0
     >>> schedule.record_failure(10.0)
     >>> schedule.wait_s(now=10.0, rank=0, confirmed_at=0.0)
     0.25
@@ -59,13 +61,16 @@
         """Whether the last read failed."""
         return self.failures > 0
 
-    def wait_s(self, now: float, rank: int, confirmed_at: float) -> float:
+    def wait_s(
+        self, now: float, rank: int, confirmed_at: float, is_requested: bool = False
+    ) -> float:
         """Return the seconds until this VM should read, unless a peer sends newer data before.
 
         :param rank: number of VMs of the region that read before this one.
         :param confirmed_at: time of the latest read by any VM that returned the data held here.
+        :param is_requested: whether this VM lacks data that it cannot fetch from a peer.
         """
-        due = confirmed_at + READ_INTERVAL_S + rank * RANK_DELAY_S
+        due = now if is_requested else confirmed_at + READ_INTERVAL_S + rank * RANK_DELAY_S
         return round(max(0.0, due - now, self.retry_at - now), 6)
 
     def record_failure(self, now: float) -> None:
