Keep the registry's version when a record's grace period ends

What callers would see: requests to a backend server that has announced that it leaves, at VMs which never learn of it (DRAIN).

Cause: a VM that removes a record at the end of its grace period raised its version by one. The store may give that number to its next change. Two VMs then have different servers at the same version: each takes the other's equal number for a confirmation, and neither pulls. It takes a reader that begins during the grace period and drops the record with the read.

Change: the end of the grace period is part of the record and known to all VMs, so that it needs no version. The checksum leaves out records in their grace period, since VMs remove them up to 0.2 s apart.

--- a/src/hibiscushaven/discovery/registry.py
+++ b/src/hibiscushaven/discovery/registry.py
@@ -43,7 +43,7 @@
     :ivar servers: added and changed servers by id, or all servers if it is complete.
     :ivar base_version: version to which it applies; ``None`` if it is complete.
     :ivar removed: servers that were removed since ``base_version``.
-    :ivar checksum: checksum of all servers after the update.
+    :ivar checksum: checksum of the registered servers after the update.
     """
 
     version: int
@@ -108,7 +108,10 @@
 
     @property
     def checksum(self) -> int:
-        """Checksum of the records of all servers, independent of their order."""
+        """Checksum of the registered servers' records, independent of their order.
+
+        Servers in their grace period are left out, since VMs remove them at different moments.
+        """
         if self._checksum[0] != self.revision:
             self._checksum = self.revision, _checksum_of(self._servers)
         return self._checksum[1]
@@ -142,7 +145,11 @@
         return True
 
     def expire(self, now: float) -> bool:
-        """Remove servers whose grace period is over; return whether there were any."""
+        """Remove servers whose grace period is over; return whether there were any.
+
+        All VMs know the end of the grace period and remove the server themselves, so that the
+        version stays. A version of its own could be the one at which the store has a change.
+        """
         expired = [
             server_id
             for server_id, server in self._servers.items()
@@ -151,8 +158,6 @@
         for server_id in expired:
             del self._servers[server_id]
         if expired:
-            self.version += 1
-            self._changes.record(self.version, expired)
             self._rebuild_index()
         return bool(expired)
 
@@ -232,7 +237,8 @@
 
 
 def _checksum_of(servers: Mapping[str, KnownServer]) -> int:
-    return sum(_hash_of(server.record) for server in servers.values()) % _CHECKSUM_MODULUS
+    registered = (server.record for server in servers.values() if server.expires_at is None)
+    return sum(_hash_of(record) for record in registered) % _CHECKSUM_MODULUS
 
 
 # Twice the number of backend servers in the largest deployment, so that each is hashed once.
--- a/src/hibiscushaven/discovery/tests/test_registry.py
+++ b/src/hibiscushaven/discovery/tests/test_registry.py
@@ -222,3 +222,31 @@
     assert other.apply_update(reader.update_since(other.version))
     assert other.servers["s2"].expires_at == 9.0 + EXPIRY_GRACE_S
     assert other.expire(9.0 + EXPIRY_GRACE_S) and set(other.servers) == {"s1"}
+
+
+def test_expiry_does_not_hide_a_change_at_the_next_version():
+    """Guards against a leaving server that a VM never learns of, since both versions are equal."""
+    reader = make_registry(make_record("s1"), make_record("s2"))
+    reader.replace_all(10.0, 20, [make_record("s1")], gap_s=6.0)
+    first, second = Registry(), Registry()
+    for registry in (first, second):
+        registry.apply_update(reader.update_since(0))
+    first.expire(10.0 + EXPIRY_GRACE_S)
+    second.replace_all(12.0, 21, [make_record("s1", is_leaving=True)], gap_s=0.5)
+    assert first.version < second.version
+    assert first.apply_update(second.update_since(first.version))
+    assert first.servers == second.servers and first.servers["s1"].record.is_leaving
+
+
+def test_update_applies_although_only_one_vm_has_expired_a_record():
+    """Guards against complete updates, since VMs expire the same record at different moments."""
+    reader = make_registry(make_record("s1"), make_record("s2"))
+    reader.replace_all(10.0, 20, [make_record("s1")], gap_s=6.0)
+    other = Registry()
+    other.apply_update(reader.update_since(0))
+    reader.expire(10.0 + EXPIRY_GRACE_S)
+    reader.replace_all(12.0, 30, [make_record("s1", slots=5)], gap_s=0.5)
+    update = reader.update_since(other.version)
+    assert update.base_version == other.version and other.apply_update(update)
+    other.expire(12.1)
+    assert other.servers == reader.servers
