Do not deny an unknown route while a newer configuration is known

Cause: the lookup of a route did not consider whether its table is known to be outdated.

Change: while a peer of the region has announced a newer operator state within the last second, an unknown route is answered 503 with a delay of 0.3 s for the retry. The request has not run, and another VM probably has the route. A request for a known route is served as before.

The new test of the forwarder got 404 before.

--- a/src/hibiscushaven/forwarding/forwarder.py
+++ b/src/hibiscushaven/forwarding/forwarder.py
@@ -56,8 +56,8 @@
 # Time left below which a request is not sent: no backend server responds that fast.
 MIN_TIME_LEFT_S = 0.02
 
-# Retry delay of callers while this VM has no configuration.
-NO_CONFIGURATION_RETRY_S = 0.3
+# Retry delay of callers while this VM has no configuration, or lacks a newer one.
+CONFIGURATION_RETRY_S = 0.3
 
 
 class LoadReader(Protocol):
@@ -94,6 +94,7 @@
 
     :param vm_count: returns the number of VMs that share the retry budget.
     :param on_load_change: called when the number of requests in progress on a server changes.
+    :param is_configuration_old: returns whether a peer has a newer configuration than this VM.
     """
 
     def __init__(
@@ -107,6 +108,7 @@
         vm_count: Callable[[], int],
         clock: Clock,
         on_load_change: Callable[[], None] = lambda: None,
+        is_configuration_old: Callable[[], bool] = lambda: False,
     ) -> None:
         self._picker = picker
         self._loads = loads
@@ -117,6 +119,7 @@
         self._vm_count = vm_count
         self._now = clock.now
         self._on_load_change = on_load_change
+        self._is_configuration_old = is_configuration_old
         self._budgets: dict[str, RetryBudget] = {}
         self._splits = SplitChooser()
         self._caller_retries = CallerRetryDetector()
@@ -172,8 +175,11 @@
         """Return the context of a request, or the response if it cannot be forwarded."""
         configuration = self._picker.configuration
         if self._route_table is None or configuration is None:
-            return rejection_response("no configuration yet", NO_CONFIGURATION_RETRY_S)
+            return rejection_response("no configuration yet", CONFIGURATION_RETRY_S)
         route = self._route_table.find(request.host, request.path)
+        if route is None and self._is_configuration_old():
+            # The newer configuration may have the route, and callers do not retry after a 404.
+            return rejection_response("route may be too new for this VM", CONFIGURATION_RETRY_S)
         if route is None:
             return rejection_response("no such route", None, status=404)
         if len(request.body) > configuration.limits.max_body_bytes:
--- a/src/hibiscushaven/forwarding/tests/test_forwarder.py
+++ b/src/hibiscushaven/forwarding/tests/test_forwarder.py
@@ -8,6 +8,7 @@
 
 from hibiscushaven.delivery import FailureKind
 from hibiscushaven.forwarding import RetryBudgetOptions
+from hibiscushaven.forwarding.forwarder import CONFIGURATION_RETRY_S
 from hibiscushaven.routing import RequestKind
 
 from .support import Head, make_forwarder, make_request, make_route
@@ -120,6 +121,17 @@
     assert response.status == 503 and "Retry-After" in dict(response.headers)
 
 
+def test_route_unknown_to_an_old_configuration_is_not_denied():
+    """Guards against a final 404 for a route that a newer configuration has added."""
+    forwarder, clock, client, _ = make_forwarder([Head()])
+    forwarder._is_configuration_old = lambda: True
+    response = asyncio.run(forwarder.handle(make_request(clock, "/y/1")))
+    assert response.status == 503
+    assert dict(response.headers)["Retry-After"] == f"{CONFIGURATION_RETRY_S:.3g}"
+    assert client.requests == []
+    assert asyncio.run(forwarder.handle(make_request(clock))).status == 200
+
+
 def test_request_that_crashed_two_servers_is_rejected():
     """Guards against a request that crashes one backend server after another."""
     steps = [
--- a/src/hibiscushaven/gateway/daemon.py
+++ b/src/hibiscushaven/gateway/daemon.py
@@ -126,6 +126,7 @@
             self.node.vm_count,
             clock,
             self.node.on_load_change,
+            self.node.is_configuration_old,
         )
         self._app = CallerApp(self._forwarder, callers, clock)
         self._caller_limits = _connection_limits(CallerLimits(idle_timeout_s=CALLER_IDLE_S))
--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -71,6 +71,10 @@
 # some milliseconds.
 PEER_REPLY_WAIT_S = 0.1
 
+# Time for which a peer's newer version counts after its latest message, which is several intervals
+# between messages. The peer may have failed since, and no other VM may have the version.
+NEWER_VERSION_LIFETIME_S = 1.0
+
 # Fraction per second of the cap on shifting requests between regions. The cap applies to two
 # consecutive windows of 2 s, of which the shift uses two thirds; the rest is a margin for random
 # variation.
@@ -140,6 +144,7 @@
         self._state_sent_at = -1e6
         self._has_diverged = False
         self._newest_operator_version = 0
+        self._newer_operator_seen_at = float("-inf")
         self._newest_servers_version = 0
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -164,6 +169,10 @@
         """Time since a read by any VM returned the backend servers known here, in seconds."""
         return self._clock.now() - self._reader.servers_confirmed_at
 
+    def is_configuration_old(self) -> bool:
+        """Return whether a peer of the region has a newer operator state than this VM."""
+        return self._clock.now() - self._newer_operator_seen_at <= NEWER_VERSION_LIFETIME_S
+
     def vm_count(self) -> int:
         """Return the number of known VMs, up or silent, this one included."""
         return len(self.view.known_peers()) + 1
@@ -292,6 +301,8 @@
             state.operator_version > self._operator.version
             or state.servers_version > self.registry.version
         )
+        if state.operator_version > self._operator.version:
+            self._newer_operator_seen_at = now
         if is_peer_newer:
             self._puller.start(name, state.peers_at)
 
@@ -587,6 +598,7 @@
             return
         self._operator = operator
         if operator.version >= self._newest_operator_version:
+            self._newer_operator_seen_at = float("-inf")
             self._reader.cancel_operator_read()
         warmups = {name: options.warmup_s for name, options in self._services().items()}
         for domain in previous.evacuated - operator.evacuated:
--- a/src/hibiscushaven/gateway/tests/test_node.py
+++ b/src/hibiscushaven/gateway/tests/test_node.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 
 from hibiscushaven.fleet import VmState, token_of
+from hibiscushaven.gateway.node import NEWER_VERSION_LIFETIME_S
 from hibiscushaven.process.tests.support import VirtualClock
 
 from .support import make_node, make_operator, make_record
@@ -146,6 +147,26 @@
     run_in_loop(scenario)
 
 
+def test_configuration_is_old_from_the_news_to_its_arrival():
+    """Guards against a VM that denies routes although it knows that it is behind, or for ever."""
+
+    def scenario():
+        clock = VirtualClock()
+        node = make_node(clock=clock)
+        node._puller.start = lambda peer, address: None
+        node._adopt_operator(make_operator(10, 1), "test")
+        assert not node.is_configuration_old()
+        node._on_message(make_state(operator_version=20))
+        assert node.is_configuration_old()
+        clock.time += NEWER_VERSION_LIFETIME_S + 0.1
+        assert not node.is_configuration_old()
+        node._on_message(make_state("vm-3", operator_version=20))
+        node._adopt_operator(make_operator(20, 2), "test")
+        assert not node.is_configuration_old()
+
+    run_in_loop(scenario)
+
+
 def test_checksum_mismatch_leads_to_a_pull_of_all_servers():
     """Guards against server lists that stay different after two VMs diverged at one version."""
 
