Take over the operator state together with the backend servers

What callers saw: 404 for a route that had been added, 5.3 s after its confirmation (CONFIG). This is the larger part of the delay; pulls over a busy link are the rest.

Cause: the reader of a region loses the store and says so to the VMs of its region in one datagram. In a large region its later states go to the aggregator only, and digests do not say who can read. If the next reader misses the datagram, it takes over the backend servers after 0.8 s without a confirmation, but the operator state only after 2.3 s, since its reader may rightly wait 1.5 s for a change.

The configuration was confirmed at 1.13. front-debrecen-b-6 lost the store at 2.24; front-debrecen-c-8, next in rank, read the backend servers at 2.48 and the operator state at 5.05, as the first VM of its region.

Change: a VM that reads the backend servers because of their age reads the operator state at once, and keeps watching it while it goes on to read them.

--- a/src/hibiscushaven/gateway/reader.py
+++ b/src/hibiscushaven/gateway/reader.py
@@ -30,6 +30,10 @@
 # ranked before this one fail.
 MAX_CHECK_INTERVAL_S = 0.5
 
+# Time since its last scheduled read of the backend servers for which a VM counts as the reader of
+# the region, whatever its rank. The VM of the second rank reads them each second at most.
+READER_LIFETIME_S = 1.5
+
 _NEVER = -1e6
 
 
@@ -39,6 +43,10 @@
     Explanation
     ===========
 
+    The operator state ages slowly while its reader waits for a change, so that its age shows late
+    that the reader has failed. The age of the backend servers shows it within a second. A VM that
+    has to read them because of their age therefore reads the operator state as well.
+
     A VM that has just started and has no data waits according to its rank as well. If others are
     up, one of them has the data or is reading it, and its updates arrive sooner than the result
     of its own read would.
@@ -73,6 +81,7 @@
         self._operator_confirmed_at = _NEVER
         self._servers_confirmed_at = _NEVER
         self._started_at = _NEVER
+        self._servers_read_at = _NEVER
         self._servers_requested = asyncio.Event()
         self._operator_requested = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
@@ -140,6 +149,7 @@
             if wait_s > 0:
                 await _wait_for(self._servers_requested, min(wait_s, _check_interval_s(wait_s)))
                 continue
+            is_scheduled = not self._servers_requested.is_set()
             started = self._now()
             try:
                 listing = await self._store.read_servers()
@@ -152,8 +162,18 @@
             gap_s = now - self._servers_confirmed_at
             self._servers_confirmed_at = now
             self._servers_requested.clear()
+            if is_scheduled:
+                self._act_as_reader(now)
             self._on_listing(listing, gap_s)
 
+    def _act_as_reader(self, now: float) -> None:
+        if not self._is_acting_reader(now):
+            self._operator_requested.set()
+        self._servers_read_at = now
+
+    def _is_acting_reader(self, now: float) -> bool:
+        return now - self._servers_read_at < READER_LIFETIME_S
+
     def _wait_s(self) -> float:
         """Return the time until this VM should read the backend servers."""
         known_at = max(self._servers_confirmed_at, self._started_at - READ_INTERVAL_S)
@@ -166,27 +186,27 @@
 
     async def _read_operator(self) -> None:
         while True:
+            now = self._now()
             known_at = max(self._operator_confirmed_at, self._started_at - OPERATOR_MAX_AGE_S)
-            age_s = self._now() - known_at
+            age_s = now - known_at
             rank = self._reader_rank(self.can_read)
-            is_reader = rank == 0 and self.can_read
+            is_reader = self.can_read and (rank == 0 or self._is_acting_reader(now))
             wait_s = OPERATOR_MAX_AGE_S + RANK_DELAY_S * rank - age_s
             is_requested = self._operator_requested.is_set()
             if not (is_reader or is_requested) and wait_s > 0:
                 await _wait_for(self._operator_requested, _check_interval_s(wait_s))
                 continue
             is_stale = is_requested or age_s >= OPERATOR_MAX_AGE_S
-            started = self._now()
             try:
                 operator = await self._store.read_operator(0.0 if is_stale else OPERATOR_WAIT_S)
             except StoreError as error:
-                self._on_error("operator", error, started)
+                self._on_error("operator", error, now)
                 await asyncio.sleep(CHECK_INTERVAL_S * random.uniform(1.0, 3.0))
                 continue
             self._operator_confirmed_at = self._now()
             self._operator_requested.clear()
             self._reporter.store_read_ended(
-                "operator", self._operator_confirmed_at - started, is_successful=True
+                "operator", self._operator_confirmed_at - now, is_successful=True
             )
             self._on_operator(operator, "store")
 
--- a/src/hibiscushaven/gateway/tests/simulated_region.py
+++ b/src/hibiscushaven/gateway/tests/simulated_region.py
@@ -1,6 +1,7 @@
 """A region of running nodes in virtual time, with a store and links that delay packets."""
 
 import asyncio
+import contextlib
 from dataclasses import replace
 
 from hibiscushaven.bench.virtual_time import run_virtual
@@ -44,9 +45,7 @@
     async def read_operator(self, wait_s):
         region = self._region
         await self._travel(3)
-        if region.operator.version == self._seen_version and wait_s:
-            await region.wait_for_change(wait_s)
-        operator = region.operator
+        operator = await region.watch(self._seen_version, wait_s) if wait_s else region.operator
         await self._travel(1)
         self._seen_version = operator.version
         return operator
@@ -90,6 +89,8 @@
 
     def send(self, datagram, address):
         peer = self._region.name_at(address)
+        if (self._name, peer) in self._region.lost_datagrams:
+            return
         asyncio.get_running_loop().call_later(
             self._delay_s(peer), self._region.deliver, datagram, peer
         )
@@ -114,6 +115,7 @@
 
     :param size: number of VMs.
     :ivar delays_s: time that each packet waits at the link of a VM, by name; 0 by default.
+    :ivar lost_datagrams: pairs of sender and recipient whose datagrams are lost.
     """
 
     def __init__(self, size):
@@ -121,7 +123,10 @@
         self.operator = make_operator(10)
         self.listing = ServerListing(10, (make_record("s1"), make_record("s2")))
         self.nodes = {}
-        self._changed = asyncio.Event()
+        self.lost_datagrams = set()
+        self._watched = self.operator
+        self._watch_end = asyncio.get_running_loop().create_future()
+        self._are_watches_interrupted = False
         for number in range(size):
             self._add(f"serra-{number}", Endpoint("10.0.0.1", 1000 + number))
         self._names = {str(node._options.peers_at): name for name, node in self.nodes.items()}
@@ -137,9 +142,9 @@
         node._transport = SimulatedTransport(self, name)
         self.nodes[name] = node
 
-    def last_reader(self):
-        """Return the VM that reads the store after all others."""
-        return max(self.nodes, key=token_of)
+    def readers(self):
+        """Return the VMs in the order in which they read the store."""
+        return sorted(self.nodes, key=token_of)
 
     def name_at(self, address):
         return self._names[address]
@@ -147,18 +152,36 @@
     def deliver(self, datagram, name):
         self.nodes[name]._on_message(decode(datagram))
 
-    async def wait_for_change(self, wait_s):
-        try:
-            async with asyncio.timeout(wait_s):
-                await self._changed.wait()
-        except TimeoutError:
-            pass
+    async def watch(self, seen_version, wait_s):
+        """Return the operator state when it has another version, or after a time."""
+        if self._watched.version == seen_version:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(wait_s):
+                    await asyncio.shield(self._watch_end)
+        return self._watched
 
     def put_configuration(self, version):
         """Store another configuration, as an operator does."""
         self.operator = make_operator(self.listing.version + 1, configuration=version)
         self.listing = replace(self.listing, version=self.operator.version)
-        self._notify()
+        if not self._are_watches_interrupted:
+            self._end_watches().set_result(None)
+
+    @contextlib.asynccontextmanager
+    async def interrupted_watches(self):
+        """Let watches hear of no change, and reset them at the end; other reads are current."""
+        self._are_watches_interrupted = True
+        yield
+        self._are_watches_interrupted = False
+        end = self._end_watches()
+        end.set_exception(StoreError("connection reset"))
+        end.exception()
+
+    def _end_watches(self):
+        """Return the future that ends the watches in progress; later ones see the new state."""
+        self._watched = self.operator
+        end, self._watch_end = self._watch_end, asyncio.get_running_loop().create_future()
+        return end
 
     def put_leaving(self, server_id):
         """Store that a backend server leaves."""
@@ -168,10 +191,6 @@
         )
         self.listing = ServerListing(self.listing.version + 1, records)
 
-    def _notify(self):
-        self._changed.set()
-        self._changed = asyncio.Event()
-
     @classmethod
     def run(cls, size, scenario):
         """Run a scenario with a region that has settled."""
--- a/src/hibiscushaven/gateway/tests/test_reader.py
+++ b/src/hibiscushaven/gateway/tests/test_reader.py
@@ -4,22 +4,24 @@
 
 import pytest
 
+from hibiscushaven.bench.virtual_time import run_virtual
 from hibiscushaven.gateway import ServerListing
-from hibiscushaven.gateway.reader import StoreReader
+from hibiscushaven.gateway.reader import CHECK_INTERVAL_S, StoreReader
 from hibiscushaven.gateway.sync_reporter import SyncReporter
 from hibiscushaven.metrics import Metrics
-from hibiscushaven.polling import RANK_DELAY_S
+from hibiscushaven.polling import RANK_DELAY_S, READ_INTERVAL_S
 from hibiscushaven.polling.schedule import MAX_BACKOFF_S
 from hibiscushaven.process.tests.support import VirtualClock
 
+from .simulated_region import LoopClock
 from .support import FakeStore, make_operator, make_record
 
 
 class ReaderHarness:
     """A reader with its fake store, and the results that it reports."""
 
-    def __init__(self, rank=0):
-        self.clock = VirtualClock()
+    def __init__(self, rank=0, clock=None):
+        self.clock = clock or VirtualClock()
         self.store = FakeStore()
         self.store.listing = ServerListing(10, (make_record(),))
         self.store.operator = make_operator(5)
@@ -146,3 +148,22 @@
     run(harness)
     assert harness.reader.can_read
     assert round(harness.listings[0][1], 3) == 6.0
+
+
+def test_vm_that_takes_over_the_servers_reads_the_operator_state_too():
+    """Guards against a reader that fails unnoticed while its operator state still looks fresh."""
+    harness = ReaderHarness(rank=1, clock=LoopClock())
+
+    async def read_operator(wait_s):
+        await asyncio.sleep(wait_s + 0.1)
+        return harness.store.operator
+
+    async def main():
+        harness.store.read_operator = read_operator
+        harness.reader.start()
+        confirm_all(harness)(harness.reader)
+        await asyncio.sleep(READ_INTERVAL_S + RANK_DELAY_S + 2 * CHECK_INTERVAL_S)
+        await harness.reader.close()
+
+    run_virtual(main())
+    assert harness.listings and harness.operators
