Log and count lost connections, crashes and quarantined requests

A request that is refused because it crashes backend servers left no trace of the evidence: which losses were taken as crashes, of which servers, and when the quarantine began. Lines and a counter tell apart a VM that saw no crash, one that did not confirm it, and one that knows of a single one. CrashDetector holds what the forwarder did with the ledger and the suspects; decisions are unchanged.

--- a/src/hibiscushaven/forwarding/forwarder.py
+++ b/src/hibiscushaven/forwarding/forwarder.py
@@ -28,7 +28,7 @@
     cache_lookup_counter,
 )
 from hibiscushaven.process import Clock
-from hibiscushaven.quarantine import CrashLedger, CrashSuspects
+from hibiscushaven.quarantine import CrashDetector, CrashLedger
 from hibiscushaven.routing import Configuration, RouteTable, SplitChooser
 
 from .caller_retries import CallerRetryDetector
@@ -124,7 +124,7 @@
         self._splits = SplitChooser()
         self._caller_retries = CallerRetryDetector()
         self._crashes = CrashLedger()
-        self._suspects = CrashSuspects()
+        self._detector = CrashDetector(self._crashes, metrics)
         self._route_table: RouteTable | None = None
         self._configuration_version = 0
         self._attempt_numbers = count(1)
@@ -195,7 +195,7 @@
         return RequestContext(request, route, service, deadline, is_caller_retry)
 
     async def _forward(self, context: RequestContext) -> CallerResponse:
-        if self._crashes.is_quarantined(self._now(), context.fingerprint):
+        if self._detector.is_quarantined(self._now(), context.fingerprint):
             context.last_error = "crashed two backend servers"
             return rejection_response("this request crashes backend servers", None)
         while True:
@@ -310,10 +310,10 @@
         kind = error.kind
         if kind is FailureKind.NOT_CONNECTED:
             load.on_connection_loss(now, is_unreachable=True)
-            self._suspects.on_unreachable(now, server_id, self._crashes)
+            self._detector.on_unreachable(now, server_id)
         elif kind in (FailureKind.CONNECTION_LOST, FailureKind.SILENT, FailureKind.TRUNCATED):
             load.on_connection_loss(now)
-            self._suspects.on_connection_loss(
+            self._detector.on_connection_loss(
                 now, server_id, context.fingerprint, context.attempt_started_at
             )
         elif kind is FailureKind.DEADLINE:
@@ -372,7 +372,7 @@
             )
         response = CallerResponse(head.status, head.headers, body, body_stream, head.content_length)
         if not is_failure:
-            self._crashes.clear_suspicion(context.fingerprint)
+            self._detector.on_success(context.fingerprint)
             return response
         context.last_error = f"backend server answered {head.status}"
         if body_stream is None and context.route.kind.is_idempotent:
--- a/src/hibiscushaven/forwarding/reporter.py
+++ b/src/hibiscushaven/forwarding/reporter.py
@@ -28,6 +28,7 @@
             extra={
                 "request_id": context.request.request_id,
                 "server": server_id,
+                "fingerprint": context.fingerprint,
                 "stop": error.kind.value,
                 "why": str(error),
                 "left_s": round(context.deadline - self._now(), 3),
--- a/src/hibiscushaven/quarantine/__init__.py
+++ b/src/hibiscushaven/quarantine/__init__.py
@@ -1,6 +1,7 @@
 """Quarantine of requests that crash backend servers."""
 
 from .crashes import CrashLedger
+from .detector import CrashDetector
 from .suspects import CrashSuspects
 
-__all__ = ["CrashLedger", "CrashSuspects"]
+__all__ = ["CrashDetector", "CrashLedger", "CrashSuspects"]
--- a/src/hibiscushaven/quarantine/crashes.py
+++ b/src/hibiscushaven/quarantine/crashes.py
@@ -44,7 +44,9 @@
 
     >>> ledger = CrashLedger()
     >>> ledger.record(1.0, "a", {"poison": 0.9, "neighbour": 0.5})
+    []
     >>> ledger.record(2.0, "b", {"poison": 1.9})
+    ['poison']
     >>> ledger.is_quarantined(3.0, "poison"), ledger.is_quarantined(3.0, "neighbour")
     (True, False)
 
@@ -73,14 +75,17 @@
             return 0.0
         return max(0.0, entry.refused_until - now)
 
-    def record(self, now: float, server: str, sent_at: Mapping[str, float]) -> None:
+    def record(self, now: float, server: str, sent_at: Mapping[str, float]) -> list[str]:
         """Record the crash of a backend server.
 
         :param sent_at: time at which each request in progress was sent to it, by fingerprint.
+        :returns: fingerprints that are quarantined from now on.
         """
+        known = [key for key in sent_at if self.is_quarantined(now, key)]
         for fingerprint, request_sent_at in sent_at.items():
             self._record_one(now, server, fingerprint, request_sent_at)
         self._evict(now)
+        return [key for key in sent_at if key not in known and self.is_quarantined(now, key)]
 
     def clear_suspicion(self, fingerprint: str) -> None:
         """Remove a suspect whose request has since completed."""
--- a/src/hibiscushaven/quarantine/suspects.py
+++ b/src/hibiscushaven/quarantine/suspects.py
@@ -1,7 +1,5 @@
 """Distinction between crashes of backend servers and broken connections."""
 
-from .crashes import CrashLedger
-
 __all__ = ["CrashSuspects"]
 
 # Time within which a server must be found unreachable for a broken connection to count as a
@@ -29,11 +27,10 @@
     Examples
     ========
 
-    >>> suspects, ledger = CrashSuspects(), CrashLedger()
+    >>> suspects = CrashSuspects()
     >>> suspects.on_connection_loss(1.0, "s1", "poison", sent_at=0.9)
-    >>> suspects.on_unreachable(1.2, "s1", ledger)
-    >>> ledger.is_suspect(1.3, "poison")
-    True
+    >>> suspects.pop_recent(1.2, "s1")
+    {'poison': 0.9}
 
     """
 
@@ -57,13 +54,14 @@
         if len(broken) < MAX_SUSPECTS_PER_SERVER:
             broken[fingerprint] = now, sent_at
 
-    def on_unreachable(self, now: float, server_id: str, ledger: CrashLedger) -> None:
-        """Record a crash if connections to an unreachable server broke recently."""
+    def pop_recent(self, now: float, server_id: str) -> dict[str, float]:
+        """Return the requests whose connection to an unreachable server broke recently.
+
+        :returns: time at which each was sent, by fingerprint; they are suspects no longer.
+        """
         broken = self._broken.pop(server_id, {})
-        sent_at = {
+        return {
             key: request_sent_at
             for key, (broken_at, request_sent_at) in broken.items()
             if now - broken_at <= CONFIRMATION_TIMEOUT_S
         }
-        if sent_at:
-            ledger.record(now, server_id, sent_at)
