--- a/src/hibiscushaven/gateway/daemon.py
+++ b/src/hibiscushaven/gateway/daemon.py
@@ -12,7 +12,13 @@
 from starlette.routing import Route
 
 from hibiscushaven.delivery import BackendClient, ClientTimeouts, Dialect
-from hibiscushaven.forwarding import CallerApp, CallerDialect, Forwarder, LoadReader
+from hibiscushaven.forwarding import (
+    CallerApp,
+    CallerDialect,
+    Forwarder,
+    LoadReader,
+    RetryBudgetOptions,
+)
 from hibiscushaven.ini.fields import Endpoint
 from hibiscushaven.metrics import Metrics
 from hibiscushaven.metrics.exposition import to_text
@@ -24,7 +30,7 @@
 from .options import GatewayOptions
 from .ports import PlatformStore
 
-__all__ = ["DirectoryDialect", "GatewayDaemon"]
+__all__ = ["DirectoryDialect", "GatewayDaemon", "make_forwarder"]
 
 _LOG = logging.getLogger(__name__)
 
@@ -116,17 +122,8 @@
             self._client.retire_connections,
             self._metrics,
         )
-        self._forwarder = Forwarder(
-            self.node.picker,
-            self.node.loads,
-            self._client,
-            load_reader,
-            options.budget,
-            self._metrics,
-            self.node.vm_count,
-            clock,
-            self.node.on_load_change,
-            self.node.is_configuration_old,
+        self._forwarder = make_forwarder(
+            self.node, self._client, load_reader, options.budget, self._metrics, clock
         )
         self._app = CallerApp(self._forwarder, callers, clock)
         self._caller_limits = _connection_limits(CallerLimits(idle_timeout_s=CALLER_IDLE_S))
@@ -274,6 +271,29 @@
         }
 
 
+def make_forwarder(
+    node: GatewayNode,
+    client: BackendClient,
+    load_reader: LoadReader,
+    budget: RetryBudgetOptions,
+    metrics: Metrics,
+    clock: Clock,
+) -> Forwarder:
+    """Return a forwarder that decides by the state of a node and keeps it up to date."""
+    return Forwarder(
+        node.picker,
+        node.loads,
+        client,
+        load_reader,
+        budget,
+        metrics,
+        node.vm_count,
+        clock,
+        node.on_load_change,
+        node.is_configuration_old,
+    )
+
+
 def _make_server(
     app: object, address: Endpoint, limits: Callable[[], ConnectionLimits] | None = None
 ) -> HttpServer:
--- /dev/null
+++ b/src/hibiscushaven/gateway/tests/simulated_backends.py
@@ -0,0 +1,161 @@
+"""Backend servers in virtual time that some requests crash, and VMs that forward to them."""
+
+import asyncio
+import random
+from dataclasses import replace
+
+from hibiscushaven.delivery import AttemptError, FailureKind
+from hibiscushaven.forwarding import RetryBudgetOptions
+from hibiscushaven.forwarding.tests.support import Head, make_request
+from hibiscushaven.gateway.daemon import make_forwarder
+from hibiscushaven.ini.fields import Endpoint
+from hibiscushaven.metrics import Metrics
+from hibiscushaven.placement import LoadReport
+from hibiscushaven.routing import (
+    Configuration,
+    OperatorState,
+    RequestKind,
+    Route,
+    ServiceOptions,
+    WeightedService,
+)
+
+from .simulated_region import LoopClock
+from .support import make_record
+
+# Time that a server takes to run a request, and to end after it began to run a crashing one.
+PROCESSING_S = 0.2
+CRASH_S = 0.005
+
+# Time until a crashed server is back.
+DOWN_S = 3.0
+
+CRASHING_PATH = "/crash/1"
+
+# Requests of other callers that arrive in a second, and the objects that they are about.
+ARRIVALS_PER_S = 100.0
+OBJECTS = 40
+
+
+class IdleLoadReader:
+    """Reads a report of the usual speed from each response."""
+
+    def read_load_report(self, head):
+        return LoadReport(1, 0, 4)
+
+
+class SimulatedBackends:
+    """Backend servers of all regions, which register in the store of a simulated region.
+
+    :param region: the VMs and their store.
+    :param servers: number of servers by failure domain.
+    :ivar crashes: times at which a request crashed a server.
+    :ivar arrivals: times at which the crashing request reached a server.
+    """
+
+    def __init__(self, region, servers):
+        self._region = region
+        self._now = LoopClock().now
+        self._up_at = {}
+        self._in_progress = {}
+        self.crashes = []
+        self.arrivals = []
+        records = [
+            replace(
+                make_record(f"{domain}-{number}", started_unix_ms=1),
+                address=Endpoint(f"10.{index}.0.{number + 1}", 80),
+                failure_domain=domain,
+            )
+            for index, (domain, count) in enumerate(servers.items())
+            for number in range(count)
+        ]
+        self._records = {record.server_id: record for record in records}
+        region.put_servers(records)
+
+    async def attempt(self, request):
+        """Run a request on its server, as ``BackendClient.attempt`` does."""
+        name = request.server_id
+        if self._now() < self._up_at.get(name, 0.0):
+            raise AttemptError(FailureKind.NOT_CONNECTED, "refused")
+        end = self._in_progress.setdefault(name, asyncio.get_running_loop().create_future())
+        is_crashing = request.target == CRASHING_PATH
+        if is_crashing:
+            self.arrivals.append(self._now())
+        duration_s = CRASH_S if is_crashing else PROCESSING_S
+        await asyncio.wait((end,), timeout=duration_s)
+        if is_crashing and not end.done():
+            self._crash(name)
+        if end.done():
+            raise AttemptError(FailureKind.CONNECTION_LOST, "reset")
+        return Head()
+
+    def _crash(self, name):
+        now = self._now()
+        self.crashes.append(now)
+        self._up_at[name] = now + DOWN_S
+        self._in_progress.pop(name).set_result(None)
+        asyncio.get_running_loop().call_later(DOWN_S, self._restart, name)
+
+    def _restart(self, name):
+        started_unix_ms = self._records[name].started_unix_ms + 1
+        self._records[name] = replace(self._records[name], started_unix_ms=started_unix_ms)
+        self._region.put_servers(self._records.values())
+
+
+class SimulatedTraffic:
+    """Forwarders of all VMs of a simulated region, and requests that arrive at any of them.
+
+    :ivar statuses: responses to the requests of other callers, as path and status.
+    """
+
+    def __init__(self, region, backends, kind=RequestKind.SAFE, seed=1):
+        self._rng = random.Random(seed)
+        self._tasks = set()
+        self.statuses = []
+        routes = tuple(
+            Route(name, "a.example", prefix, kind, (WeightedService("stock", 1),), 2.0, 1.0, 2)
+            for name, prefix in (("objects", "/x/"), ("crashing", "/crash/"))
+        )
+        options = ServiceOptions("stock", warmup_s=0.0, warmup_per_s=8.0)
+        region.operator = OperatorState(
+            region.operator.version + 1, Configuration(2, routes, {"stock": options})
+        )
+        self._forwarders = {}
+        for name, node in region.nodes.items():
+            forwarder = make_forwarder(
+                node,
+                backends,
+                IdleLoadReader(),
+                RetryBudgetOptions(10.0, 0.2, 130.0),
+                Metrics(),
+                LoopClock(),
+            )
+            forwarder.set_configuration(region.operator.configuration)
+            self._forwarders[name] = forwarder
+
+    def send(self, path, key):
+        """Let a request arrive at a random VM."""
+        forwarder = self._rng.choice(list(self._forwarders.values()))
+        task = asyncio.create_task(self._request(forwarder, path, key))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def run(self, duration_s, crashing_interval_s, arrivals_per_s=ARRIVALS_PER_S):
+        """Let requests about random objects arrive, and the crashing one at an interval."""
+        now = LoopClock().now
+        end, next_crashing = now() + duration_s, now() + crashing_interval_s
+        while now() < end:
+            await asyncio.sleep(self._rng.expovariate(arrivals_per_s))
+            number = self._rng.randrange(OBJECTS)
+            self.send(f"/x/{number}", str(number))
+            while now() >= next_crashing:
+                self.send(CRASHING_PATH, "crash")
+                next_crashing += crashing_interval_s
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+
+    async def _request(self, forwarder, path, key):
+        request = replace(make_request(LoopClock(), path), object_key=key)
+        response = await forwarder.handle(request)
+        if path != CRASHING_PATH:
+            self.statuses.append((path, response.status))
--- a/src/hibiscushaven/gateway/tests/simulated_region.py
+++ b/src/hibiscushaven/gateway/tests/simulated_region.py
@@ -1,4 +1,4 @@
-"""A region of running nodes in virtual time, with a store and links that delay packets."""
+"""Regions of running nodes in virtual time, with a store and links that delay packets."""
 
 import asyncio
 import contextlib
@@ -16,6 +16,9 @@
 LOCAL_DELAY_S = 0.0005
 STORE_DELAY_S = 0.035
 
+# One-way delay between regions.
+REMOTE_DELAY_S = 0.035
+
 # Time limit of one call of the store.
 STORE_TIMEOUT_S = 0.8
 
@@ -105,13 +108,20 @@
 
     def _delay_s(self, peer):
         delays_s = self._region.delays_s
-        return LOCAL_DELAY_S + delays_s.get(self._name, 0.0) + delays_s.get(peer, 0.0)
+        is_local = region_of(self._name) == region_of(peer)
+        idle_delay_s = LOCAL_DELAY_S if is_local else REMOTE_DELAY_S
+        return idle_delay_s + delays_s.get(self._name, 0.0) + delays_s.get(peer, 0.0)
+
+
+def region_of(name):
+    """Return the region of a VM, which is the first part of its name."""
+    return name.partition("-")[0]
 
 
 class SimulatedRegion:
-    """Nodes of one region, which register, elect an aggregator and read the store.
+    """Nodes of one region or several, which register, elect an aggregator and read the store.
 
-    :param size: number of VMs.
+    :param size: number of VMs of one region, or a mapping from region to number.
     :ivar delays_s: time that each packet waits at the link of a VM, by name; 0 by default.
     :ivar lost_datagrams: pairs of sender and recipient whose datagrams are lost.
     """
@@ -125,15 +135,26 @@
         self._watched = self.operator
         self._watch_end = asyncio.get_running_loop().create_future()
         self._are_watches_interrupted = False
-        for number in range(size):
-            self._add(f"serra-{number}", Endpoint("10.0.0.1", 1000 + number))
+        sizes = size if isinstance(size, dict) else {"serra": size}
+        for region, count in sizes.items():
+            for number in range(count):
+                self._add(f"{region}-{number}", Endpoint("10.0.0.1", 1000 + len(self.nodes)))
         self._names = {str(node._options.peers_at): name for name, node in self.nodes.items()}
 
     def _add(self, name, address):
         # The VM with the most capacity becomes the aggregator.
-        capacity = 2.0 if name == "serra-3" else 0.2
+        capacity = 2.0 if name.endswith("-3") else 0.2
+        region = region_of(name)
         options = GatewayOptions(
-            name, "serra", "serra-a", REGIONS, address, address, address, address, capacity=capacity
+            name,
+            region,
+            f"{region}-a",
+            REGIONS,
+            address,
+            address,
+            address,
+            address,
+            capacity=capacity,
         )
         store = SimulatedStore(self, name)
         node = GatewayNode(options, store, LoopClock(), lambda operator: None, dict)
@@ -150,6 +171,10 @@
     def deliver(self, datagram, name):
         self.nodes[name]._on_message(decode(datagram))
 
+    def put_servers(self, records):
+        """Store the records of all backend servers."""
+        self.listing = ServerListing(self.listing.version + 1, tuple(records))
+
     async def watch(self, seen_version, wait_s):
         """Return the operator state when it has another version, or after a time."""
         if self._watched.version == seen_version:
--- /dev/null
+++ b/src/hibiscushaven/gateway/tests/test_crashing_request.py
@@ -0,0 +1,53 @@
+"""A request that crashes each backend server that runs it, and arrives at one VM after another."""
+
+import asyncio
+
+import pytest
+
+from hibiscushaven.routing import RequestKind
+
+from .simulated_backends import SimulatedBackends, SimulatedTraffic
+from .simulated_region import SimulatedRegion
+
+# Time from the third crash after which a request may reach servers a few times at most.
+STABLE_S = 3.0
+MAX_LATE_ARRIVALS = 3
+
+# Time after which all VMs have the servers and routes of the test.
+ADOPTION_S = 3.0
+
+DURATION_S = 15.0
+CRASHING_INTERVAL_S = 0.25
+
+SIZES = {"serra": 10, "vale": 10}
+SERVERS = {"serra-a": 8, "vale-a": 8}
+
+
+def play(kind, **rates):
+    """Return the backends and the traffic after a request crashed servers again and again."""
+
+    async def scenario(region):
+        backends = SimulatedBackends(region, SERVERS)
+        traffic = SimulatedTraffic(region, backends, kind)
+        await asyncio.sleep(ADOPTION_S)
+        await traffic.run(DURATION_S, CRASHING_INTERVAL_S, **rates)
+        return backends, traffic
+
+    return SimulatedRegion.run(SIZES, scenario)
+
+
+@pytest.mark.parametrize("arrivals_per_s", [100.0, 4.0])
+@pytest.mark.parametrize("kind", [RequestKind.SAFE, RequestKind.UNSAFE])
+def test_request_that_crashed_three_servers_is_refused_by_all_vms(kind, arrivals_per_s):
+    """Guards against a request that crashes servers as often as there are VMs that send it."""
+    backends, _ = play(kind, arrivals_per_s=arrivals_per_s)
+    third_crash_at = sorted(backends.crashes)[:3][-1]
+    late = [time for time in backends.arrivals if time > third_crash_at + STABLE_S]
+    assert len(late) <= MAX_LATE_ARRIVALS
+
+
+def test_requests_beside_a_crashing_one_are_served():
+    """Guards against a quarantine of the requests that were in progress on the same servers."""
+    _, traffic = play(RequestKind.SAFE)
+    last = dict(traffic.statuses)
+    assert [path for path, status in last.items() if status != 200] == []
