Date a crash by the loss of its connection, and count all crashes of a request

What callers saw: a request that crashes servers went on to more of them (a route's retry included). Cause: the first crash was dated by its confirmation, up to a second after the retry had been sent, so that the crash of the retry did not count; only the first crash was kept, so that the result depended on the order in which crashes became known; and a server that started again under its id never counted a second time. Change: crashes are dated by the loss of the connection and kept as a list, of which any two in a row count; the forwarder names a server by its id and its start. The simulated regions still fail: the evidence is neither confirmed reliably nor shared.

--- a/src/hibiscushaven/discovery/records.py
+++ b/src/hibiscushaven/discovery/records.py
@@ -28,6 +28,11 @@
     cold_left_s: float = 0.0
     started_unix_ms: int = 0
 
+    @property
+    def process_id(self) -> str:
+        """Identity of this start of the server, since a server may start again under its id."""
+        return f"{self.server_id}/{self.started_unix_ms}"
+
     def is_same_process(self, other: "ServerRecord") -> bool:
         """Return whether both records are of the same start of the same server."""
         return (
--- a/src/hibiscushaven/forwarding/forwarder.py
+++ b/src/hibiscushaven/forwarding/forwarder.py
@@ -310,11 +310,11 @@
         kind = error.kind
         if kind is FailureKind.NOT_CONNECTED:
             load.on_connection_loss(now, is_unreachable=True)
-            self._detector.on_unreachable(now, server_id)
+            self._detector.on_unreachable(now, server.record.process_id)
         elif kind in (FailureKind.CONNECTION_LOST, FailureKind.SILENT, FailureKind.TRUNCATED):
             load.on_connection_loss(now)
             self._detector.on_connection_loss(
-                now, server_id, context.fingerprint, context.attempt_started_at
+                now, server.record.process_id, context.fingerprint, context.attempt_started_at
             )
         elif kind is FailureKind.DEADLINE:
             self._on_timeout(now, context, load)
--- a/src/hibiscushaven/quarantine/__init__.py
+++ b/src/hibiscushaven/quarantine/__init__.py
@@ -1,7 +1,7 @@
 """Quarantine of requests that crash backend servers."""
 
-from .crashes import CrashLedger
+from .crashes import CrashLedger, CrashRecord
 from .detector import CrashDetector
 from .suspects import CrashSuspects
 
-__all__ = ["CrashDetector", "CrashLedger", "CrashSuspects"]
+__all__ = ["CrashDetector", "CrashLedger", "CrashRecord", "CrashSuspects"]
--- a/src/hibiscushaven/quarantine/crashes.py
+++ b/src/hibiscushaven/quarantine/crashes.py
@@ -1,32 +1,56 @@
 """Record of the requests that were in progress on backend servers when they crashed."""
 
 from collections import OrderedDict
-from collections.abc import Mapping
-from dataclasses import dataclass
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from itertools import permutations
 
-__all__ = ["CrashLedger"]
+__all__ = ["CrashLedger", "CrashRecord"]
 
 # Fingerprints that are kept, suspect and quarantined ones together.
 MAX_FINGERPRINTS = 1024
+# Crashes that are kept for one fingerprint; two of them suffice for a quarantine.
+MAX_CRASHES_PER_FINGERPRINT = 8
 # Time for which a quarantined fingerprint is refused.
 QUARANTINE_S = 600.0
 # Time after a first crash without a second one until the fingerprint is no longer suspect.
 SUSPICION_S = 600.0
 
 
-@dataclass(slots=True)
-class _Entry:
+@dataclass(frozen=True, slots=True)
+class CrashRecord:
     """Crash of a server with a request in progress.
 
-    :ivar refused_until: end of the quarantine, ``None`` for a suspect.
-    :ivar is_local: whether the crash was observed here, not merged from elsewhere.
+    :ivar server: id of the server; different ones for two starts that count as two servers.
+    :ivar sent_at: time at which the request was sent to the server.
+    :ivar crashed_at: time at which its connection broke.
     """
 
     server: str
+    sent_at: float
     crashed_at: float
+
+    def is_followed_by(self, other: "CrashRecord") -> bool:
+        """Return whether the request was sent after this crash and crashed another server."""
+        return self.server != other.server and other.sent_at >= self.crashed_at
+
+
+@dataclass(slots=True)
+class _Entry:
+    """Crashes with one request in progress.
+
+    :ivar refused_until: end of the quarantine, ``None`` for a suspect.
+    :ivar is_local: whether the crashes were observed here, not merged from elsewhere.
+    """
+
+    crashes: list[CrashRecord] = field(default_factory=list)
     refused_until: float | None = None
     is_local: bool = True
 
+    @property
+    def last_crash_at(self) -> float:
+        return max((crash.crashed_at for crash in self.crashes), default=float("-inf"))
+
 
 class CrashLedger:
     """Fingerprints of requests with one crash (suspects) and with two (quarantined).
@@ -34,10 +58,10 @@
     Explanation
     ===========
 
-    A fingerprint is quarantined once it was in progress on two different backend servers
-    when each of them crashed, and was sent to the second after the first had crashed. A
-    single event that takes down two servers with both attempts of a hedged request is thus not
-    attributed to the request. The number of fingerprints is bounded by ``MAX_FINGERPRINTS``.
+    A fingerprint is quarantined once a backend server crashed while it was in progress, and it was
+    then sent again and another server crashed. A single event that takes down two servers with both
+    attempts of a hedged request is thus not attributed to the request. The number of fingerprints
+    is bounded by ``MAX_FINGERPRINTS``.
 
     Examples
     ========
@@ -62,11 +86,11 @@
         return self.remaining_s(now, fingerprint) > 0
 
     def is_suspect(self, now: float, fingerprint: str) -> bool:
-        """Return whether exactly one crash is recorded for the fingerprint."""
+        """Return whether the fingerprint has crashes, but too few for a quarantine."""
         entry = self._entries.get(fingerprint)
         if entry is None or entry.refused_until is not None:
             return False
-        return now < entry.crashed_at + SUSPICION_S
+        return now < entry.last_crash_at + SUSPICION_S
 
     def remaining_s(self, now: float, fingerprint: str) -> float:
         """Return the time for which the fingerprint is still refused, in seconds."""
@@ -75,17 +99,23 @@
             return 0.0
         return max(0.0, entry.refused_until - now)
 
-    def record(self, now: float, server: str, sent_at: Mapping[str, float]) -> list[str]:
-        """Record the crash of a backend server.
+    def record(self, crashed_at: float, server: str, sent_at: Mapping[str, float]) -> list[str]:
+        """Record the crash of a backend server; crashes may be recorded in any order.
 
         :param sent_at: time at which each request in progress was sent to it, by fingerprint.
         :returns: fingerprints that are quarantined from now on.
         """
-        known = [key for key in sent_at if self.is_quarantined(now, key)]
-        for fingerprint, request_sent_at in sent_at.items():
-            self._record_one(now, server, fingerprint, request_sent_at)
-        self._evict(now)
-        return [key for key in sent_at if key not in known and self.is_quarantined(now, key)]
+        return [
+            fingerprint
+            for fingerprint, request_sent_at in sent_at.items()
+            if self.add(fingerprint, CrashRecord(server, request_sent_at, crashed_at))
+        ]
+
+    def add(self, fingerprint: str, crash: CrashRecord) -> bool:
+        """Record a crash with one request in progress; return whether it is quarantined for it."""
+        is_quarantined = self._add(fingerprint, crash)
+        self._evict(crash.crashed_at)
+        return is_quarantined
 
     def clear_suspicion(self, fingerprint: str) -> None:
         """Remove a suspect whose request has since completed."""
@@ -111,21 +141,25 @@
             until = now + min(seconds, QUARANTINE_S)
             entry = self._entries.get(fingerprint)
             if entry is None or entry.refused_until is None or entry.refused_until <= now:
-                self._put(fingerprint, _Entry("", now, until, is_local=False))
+                self._put(fingerprint, _Entry([], until, is_local=False))
             elif not entry.is_local:
                 entry.refused_until = max(entry.refused_until, until)
         self._evict(now)
 
-    def _record_one(self, now: float, server: str, fingerprint: str, sent_at: float) -> None:
+    def _add(self, fingerprint: str, crash: CrashRecord) -> bool:
         entry = self._entries.get(fingerprint)
-        if entry is not None and entry.refused_until is not None:
-            if now >= entry.refused_until:
-                self._put(fingerprint, _Entry(server, now))
-            return
-        if entry is None or now >= entry.crashed_at + SUSPICION_S:
-            self._put(fingerprint, _Entry(server, now))
-        elif entry.server != server and sent_at >= entry.crashed_at:
-            self._put(fingerprint, _Entry(server, now, now + QUARANTINE_S))
+        if entry is None or self._is_expired(crash.crashed_at, fingerprint):
+            self._put(fingerprint, _Entry([crash]))
+            return False
+        is_known = any(crash.server == known.server for known in entry.crashes)
+        if entry.refused_until is not None or is_known:
+            return False
+        entry.crashes = [*entry.crashes, crash][-MAX_CRASHES_PER_FINGERPRINT:]
+        self._entries.move_to_end(fingerprint)
+        if not _has_crashed_again(entry.crashes):
+            return False
+        entry.refused_until = entry.last_crash_at + QUARANTINE_S
+        return True
 
     def _put(self, fingerprint: str, entry: _Entry) -> None:
         self._entries[fingerprint] = entry
@@ -145,3 +179,7 @@
 
     def _is_expired(self, now: float, fingerprint: str) -> bool:
         return not (self.is_suspect(now, fingerprint) or self.is_quarantined(now, fingerprint))
+
+
+def _has_crashed_again(crashes: Iterable[CrashRecord]) -> bool:
+    return any(first.is_followed_by(second) for first, second in permutations(crashes, 2))
--- a/src/hibiscushaven/quarantine/detector.py
+++ b/src/hibiscushaven/quarantine/detector.py
@@ -55,15 +55,17 @@
 
     def on_unreachable(self, now: float, server_id: str) -> None:
         """Record that no connection to a server could be established."""
-        sent_at = self._suspects.pop_recent(now, server_id)
-        if not sent_at:
+        crashes = self._suspects.pop_recent(now, server_id)
+        if not crashes:
             return
-        self._count("confirmed", len(sent_at))
+        self._count("confirmed", len(crashes))
         _LOG.info(
             "backend server crashed with requests in progress",
-            extra={"server": server_id, "fingerprints": sorted(sent_at)},
+            extra={"server": server_id, "fingerprints": sorted(crashes)},
         )
-        for fingerprint in self._ledger.record(now, server_id, sent_at):
+        for fingerprint, crash in crashes.items():
+            if not self._ledger.add(fingerprint, crash):
+                continue
             self._count("quarantined")
             _LOG.warning(
                 "request is refused since it crashes backend servers",
--- a/src/hibiscushaven/quarantine/suspects.py
+++ b/src/hibiscushaven/quarantine/suspects.py
@@ -1,5 +1,7 @@
 """Distinction between crashes of backend servers and broken connections."""
 
+from .crashes import CrashRecord
+
 __all__ = ["CrashSuspects"]
 
 # Time within which a server must be found unreachable for a broken connection to count as a
@@ -30,7 +32,7 @@
     >>> suspects = CrashSuspects()
     >>> suspects.on_connection_loss(1.0, "s1", "poison", sent_at=0.9)
     >>> suspects.pop_recent(1.2, "s1")
-    {'poison': 0.9}
+    {'poison': CrashRecord(server='s1', sent_at=0.9, crashed_at=1.0)}
 
     """
 
@@ -54,14 +56,15 @@
         if len(broken) < MAX_SUSPECTS_PER_SERVER:
             broken[fingerprint] = now, sent_at
 
-    def pop_recent(self, now: float, server_id: str) -> dict[str, float]:
+    def pop_recent(self, now: float, server_id: str) -> dict[str, CrashRecord]:
         """Return the requests whose connection to an unreachable server broke recently.
 
-        :returns: time at which each was sent, by fingerprint; they are suspects no longer.
+        :returns: crash of the server by fingerprint, dated by the loss of the connection; they are
+            suspects no longer.
         """
         broken = self._broken.pop(server_id, {})
         return {
-            key: request_sent_at
+            key: CrashRecord(server_id, request_sent_at, broken_at)
             for key, (broken_at, request_sent_at) in broken.items()
             if now - broken_at <= CONFIRMATION_TIMEOUT_S
         }
