Confirm a crash by a probe when the VM sends nothing more to the server

What callers saw: a VM whose request had crashed two servers went on to send it. Cause: a lost connection counts as a crash if the same VM finds the server unreachable within a second. It avoids the server for 0.25 s after the loss, and sends less than one request a second to one server in the deployments of today, so that most crashes stayed unconfirmed. Change: the VM opens a connection to the server 0.25 s after the loss, unless the server has responded to it or to a peer since, or at once if the same request has lost connections before. A request that completes is suspect no longer, also while its loss awaits the confirmation.

--- a/src/hibiscushaven/delivery/client.py
+++ b/src/hibiscushaven/delivery/client.py
@@ -153,6 +153,20 @@
             )
             return None
 
+    async def can_connect(self, server: Endpoint) -> bool:
+        """Return whether a connection to the server can be opened; it is closed at once."""
+        try:
+            async with asyncio.timeout(self._timeouts.control_s):
+                _, writer = await asyncio.open_connection(server.host, server.port)
+        except (TimeoutError, OSError) as error:
+            _LOG.debug(
+                "backend server cannot be reached",
+                extra={"server": str(server), "why": repr(error)},
+            )
+            return False
+        writer.transport.abort()
+        return True
+
     def retire_connections(self, server: Endpoint) -> None:
         """Exclude all open connections to the server from reuse by later requests.
 
--- a/src/hibiscushaven/forwarding/forwarder.py
+++ b/src/hibiscushaven/forwarding/forwarder.py
@@ -124,7 +124,9 @@
         self._splits = SplitChooser()
         self._caller_retries = CallerRetryDetector()
         self._crashes = CrashLedger()
-        self._detector = CrashDetector(self._crashes, metrics)
+        self._detector = CrashDetector(
+            self._crashes, metrics, client, clock.now, picker.last_response_at
+        )
         self._route_table: RouteTable | None = None
         self._configuration_version = 0
         self._attempt_numbers = count(1)
@@ -150,6 +152,10 @@
         for budget in self._budgets.values():
             budget.set_limits(options.window_s, options.ratio, options.fixed_retries)
 
+    def close(self) -> None:
+        """Cancel the checks of backend servers in progress."""
+        self._detector.close()
+
     def drain_arrival_counts(self) -> dict[str, int]:
         """Return the counts of requests and cache lookups by name since the last call."""
         counts, self._counts = self._counts, {}
@@ -310,11 +316,11 @@
         kind = error.kind
         if kind is FailureKind.NOT_CONNECTED:
             load.on_connection_loss(now, is_unreachable=True)
-            self._detector.on_unreachable(now, server.record.process_id)
+            self._detector.on_unreachable(now, server.record)
         elif kind in (FailureKind.CONNECTION_LOST, FailureKind.SILENT, FailureKind.TRUNCATED):
             load.on_connection_loss(now)
             self._detector.on_connection_loss(
-                now, server.record.process_id, context.fingerprint, context.attempt_started_at
+                now, server.record, context.fingerprint, context.attempt_started_at
             )
         elif kind is FailureKind.DEADLINE:
             self._on_timeout(now, context, load)
--- a/src/hibiscushaven/forwarding/tests/support.py
+++ b/src/hibiscushaven/forwarding/tests/support.py
@@ -57,6 +57,9 @@
             raise AttemptError(step, "scripted")
         return step
 
+    async def can_connect(self, server):
+        return True
+
 
 class NoLoadReader:
     def read_load_report(self, head):
--- a/src/hibiscushaven/gateway/daemon.py
+++ b/src/hibiscushaven/gateway/daemon.py
@@ -195,6 +195,7 @@
             )
             for stop in unfinished:
                 stop.cancel()
+        self._forwarder.close()
         await self.node.close()
         await self._client.close()
         await self._store.close()
--- a/src/hibiscushaven/gateway/tests/simulated_backends.py
+++ b/src/hibiscushaven/gateway/tests/simulated_backends.py
@@ -20,7 +20,7 @@
     WeightedService,
 )
 
-from .simulated_region import LoopClock
+from .simulated_region import REMOTE_DELAY_S, LoopClock
 from .support import make_record
 
 # Time that a server takes to run a request, and to end after it began to run a crashing one.
@@ -89,6 +89,14 @@
             raise AttemptError(FailureKind.CONNECTION_LOST, "reset")
         return Head()
 
+    async def can_connect(self, server):
+        """Return whether a server runs, as ``BackendClient.can_connect`` does."""
+        await asyncio.sleep(2 * REMOTE_DELAY_S)
+        (name,) = (
+            record.server_id for record in self._records.values() if record.address == server
+        )
+        return self._now() >= self._up_at.get(name, 0.0)
+
     def _crash(self, name):
         now = self._now()
         self.crashes.append(now)
--- a/src/hibiscushaven/placement/picker.py
+++ b/src/hibiscushaven/placement/picker.py
@@ -181,6 +181,11 @@
             self._token(server_id)
         )
 
+    def last_response_at(self, server_id: str) -> float:
+        """Return the time of the last response of a server to any VM of which this one knows."""
+        _, peer_report_at = self._view.slowness(self._token(server_id))
+        return max(self._loads.of(server_id).last_response_at, peer_report_at)
+
     def processing_times(self, service: str) -> ProcessingTimes:
         return self._state(service).times
 
--- a/src/hibiscushaven/platform/tests/test_backends.py
+++ b/src/hibiscushaven/platform/tests/test_backends.py
@@ -242,3 +242,17 @@
         return disconnect
 
     assert isinstance(asyncio.run(main()), ConnectionResetError)
+
+
+def test_probe_tells_a_running_server_from_one_that_ended():
+    """Guards against lost connections that are all taken, or never taken, for crashes."""
+
+    async def main():
+        stand_in = BackendStandIn()
+        server = Endpoint("127.0.0.1", await stand_in.start())
+        client = BackendClient(dialect=PlatformBackends())
+        while_running = await client.can_connect(server)
+        await stand_in.close()
+        return while_running, await client.can_connect(server)
+
+    assert asyncio.run(main()) == (True, False)
--- a/src/hibiscushaven/quarantine/suspects.py
+++ b/src/hibiscushaven/quarantine/suspects.py
@@ -68,3 +68,17 @@
             for key, (broken_at, request_sent_at) in broken.items()
             if now - broken_at <= CONFIRMATION_TIMEOUT_S
         }
+
+    def servers_of(self, fingerprint: str) -> list[str]:
+        """Return the servers that lost connections of a request, and may have crashed."""
+        return [server for server, broken in self._broken.items() if fingerprint in broken]
+
+    def last_loss_at(self, server_id: str) -> float | None:
+        """Return the time of a server's latest loss of a connection, ``None`` without any."""
+        broken = self._broken.get(server_id, {})
+        return max((broken_at for broken_at, _ in broken.values()), default=None)
+
+    def discard_request(self, fingerprint: str) -> None:
+        """Remove a request, which has completed since, from the suspects of all servers."""
+        for broken in self._broken.values():
+            broken.pop(fingerprint, None)
--- a/src/hibiscushaven/quarantine/tests/test_crashes.py
+++ b/src/hibiscushaven/quarantine/tests/test_crashes.py
@@ -1,27 +1,108 @@
 """Attribution of crashes of backend servers to requests."""
 
-from dataclasses import replace
+import asyncio
 from itertools import permutations
 
 import pytest
 
+from hibiscushaven.bench.virtual_time import run_virtual
 from hibiscushaven.discovery import ServerRecord
 from hibiscushaven.ini.fields import Endpoint
 from hibiscushaven.metrics import Metrics
 from hibiscushaven.quarantine import CrashDetector, CrashLedger
 
 
+class Probe:
+    """Probe of servers of which some are down.
+
+    :ivar probed: addresses in the order in which they were probed.
+    """
+
+    def __init__(self, down):
+        self.down = down
+        self.probed = []
+
+    async def can_connect(self, server):
+        self.probed.append(server)
+        return server not in self.down
+
+
+def make_server(name, port, started_unix_ms=1):
+    address = Endpoint("10.0.0.9", port)
+    return ServerRecord(name, "stock", address, "serra-a", 4, started_unix_ms=started_unix_ms)
+
+
+A, B = make_server("a", 1), make_server("b", 2)
+
+
+def run_detector(scenario, down=(), responded_at=None):
+    """Run a scenario with a detector in virtual time; return the ledger and the probe."""
+
+    async def main():
+        ledger, probe = CrashLedger(), Probe([server.address for server in down])
+        clock = asyncio.get_running_loop().time
+        responses = responded_at or {}
+        detector = CrashDetector(
+            ledger, Metrics(), probe, clock, lambda name: responses.get(name, float("-inf"))
+        )
+        await scenario(detector)
+        return ledger, probe
+
+    return run_virtual(main())
+
+
 def test_crash_confirmed_after_the_retry_counts_with_the_crash_of_the_retry():
     """Guards against crashes that are dated by their confirmation and so never add up."""
-    ledger = CrashLedger()
-    detector = CrashDetector(ledger, Metrics())
-    detector.on_connection_loss(1.0, "a", "x", sent_at=0.9)
-    detector.on_connection_loss(1.2, "b", "x", sent_at=1.0)
-    detector.on_unreachable(1.3, "a")
-    detector.on_unreachable(1.4, "b")
+
+    async def scenario(detector):
+        detector.on_connection_loss(1.0, A, "x", sent_at=0.9)
+        detector.on_connection_loss(1.2, B, "x", sent_at=1.0)
+        detector.on_unreachable(1.3, A)
+        detector.on_unreachable(1.4, B)
+
+    ledger, _ = run_detector(scenario)
     assert ledger.is_quarantined(1.5, "x")
 
 
+def test_crash_is_confirmed_although_the_vm_sends_nothing_more_to_the_server():
+    """Guards against crashes that go unnoticed by the VM whose request caused them."""
+
+    async def scenario(detector):
+        detector.on_connection_loss(0.0, A, "x", sent_at=0.0)
+        await asyncio.sleep(1.0)
+
+    ledger, probe = run_detector(scenario, down=[A])
+    assert ledger.is_suspect(1.0, "x") and probe.probed == [A.address]
+    ledger, probe = run_detector(scenario)
+    assert not ledger.is_suspect(1.0, "x") and probe.probed == [A.address]
+
+
+def test_server_that_has_responded_is_not_probed():
+    """Guards against a new connection for each response that a running server loses."""
+
+    async def scenario(detector):
+        for _ in range(5):
+            detector.on_connection_loss(0.0, A, "x", sent_at=0.0)
+        await asyncio.sleep(1.0)
+
+    ledger, probe = run_detector(scenario, responded_at={"a": 0.1})
+    assert probe.probed == [] and not ledger.is_suspect(1.0, "x")
+    _, probe = run_detector(scenario)
+    assert len(probe.probed) == 1
+
+
+def test_servers_are_probed_at_once_when_a_request_loses_two_connections():
+    """Guards against further crashes while the first two await their confirmation."""
+
+    async def scenario(detector):
+        detector.on_connection_loss(0.0, A, "x", sent_at=0.0)
+        detector.on_connection_loss(0.01, B, "x", sent_at=0.0)
+        await asyncio.sleep(0.02)
+
+    ledger, probe = run_detector(scenario, down=[A, B])
+    assert probe.probed == [A.address, B.address] and ledger.is_quarantined(0.02, "x")
+
+
 @pytest.mark.parametrize("order", list(permutations(range(3))))
 def test_crashes_count_in_any_order_of_arrival(order):
     """Guards against a quarantine that depends on which of two crashes becomes known first."""
@@ -35,8 +116,7 @@
 
 def test_server_that_started_again_under_its_id_counts_as_another_one():
     """Guards against a request that crashes the same server again and again."""
-    first = ServerRecord("s1", "stock", Endpoint("10.0.0.9", 80), "serra-a", 4, started_unix_ms=1)
-    second = replace(first, started_unix_ms=2)
+    first, second = make_server("a", 1), make_server("a", 1, started_unix_ms=2)
     ledger = CrashLedger()
     ledger.record(1.0, first.process_id, {"x": 0.9})
     ledger.record(9.0, second.process_id, {"x": 8.9})
