Check the quarantine before each attempt, after crashes in question are confirmed

What callers saw: one request could crash a further server by its retry. Cause: the quarantine was checked once, when a request arrived. A retry was sent although the loss that led to it was about to complete the evidence. Change: the check precedes each attempt, and a request that has lost connections before waits for the probes that it caused (a round trip if the server is down; one second at most). The answer is final: 503 if the request has not run, 502 if it may have. Test: test_suspect_is_not_retried_before_its_crash_is_confirmed[safe], which failed before (200 from one more server).

--- a/src/hibiscushaven/forwarding/forwarder.py
+++ b/src/hibiscushaven/forwarding/forwarder.py
@@ -201,11 +201,13 @@
         return RequestContext(request, route, service, deadline, is_caller_retry)
 
     async def _forward(self, context: RequestContext) -> CallerResponse:
-        if self._detector.is_quarantined(self._now(), context.fingerprint):
-            context.last_error = "crashed two backend servers"
-            return rejection_response("this request crashes backend servers", None)
         while True:
+            if context.sent_attempts:
+                await self._detector.wait_for_confirmation(context.fingerprint)
             now = self._now()
+            if self._detector.is_quarantined(now, context.fingerprint):
+                context.last_error = "this request crashes backend servers"
+                return self._final_response(context, 502, retry_after_s=None)
             if context.deadline - now < MIN_TIME_LEFT_S:
                 context.last_error = context.last_error or "no time left"
                 return self._final_response(context, 504)
@@ -255,7 +257,7 @@
         return budget
 
     def _final_response(
-        self, context: RequestContext, status: int, retry_after_s: float = 0.2
+        self, context: RequestContext, status: int, retry_after_s: float | None = 0.2
     ) -> CallerResponse:
         """Return the response to a request that will not be attempted again."""
         if context.fallback_response is not None:
--- a/src/hibiscushaven/forwarding/tests/support.py
+++ b/src/hibiscushaven/forwarding/tests/support.py
@@ -40,6 +40,7 @@
 
     :ivar step_s: duration of each attempt on the virtual clock.
     :ivar requests: requests of all attempts so far.
+    :ivar are_servers_down: whether probes find no server.
     """
 
     def __init__(self, clock, steps, step_s=0.01):
@@ -47,6 +48,7 @@
         self._steps = list(steps)
         self.step_s = step_s
         self.requests = []
+        self.are_servers_down = False
 
     async def attempt(self, request):
         self.requests.append(request)
@@ -58,7 +60,7 @@
         return step
 
     async def can_connect(self, server):
-        return True
+        return not self.are_servers_down
 
 
 class NoLoadReader:
--- a/src/hibiscushaven/forwarding/tests/test_forwarder.py
+++ b/src/hibiscushaven/forwarding/tests/test_forwarder.py
@@ -154,6 +154,20 @@
     assert len(client.requests) == request_count
 
 
+@pytest.mark.parametrize("kind", [RequestKind.SAFE, RequestKind.UNSAFE])
+def test_suspect_is_not_retried_before_its_crash_is_confirmed(kind):
+    """Guards against a retry that crashes one more server while the second crash is confirmed."""
+    forwarder, clock, client, _ = make_forwarder(
+        [FailureKind.CONNECTION_LOST, Head()], make_route(kind)
+    )
+    client.are_servers_down = True
+    fingerprint = _fingerprint(forwarder, clock)
+    forwarder._crashes.record(clock.now() - 1.0, "s9", {fingerprint: clock.now() - 1.1})
+    assert asyncio.run(forwarder.handle(make_request(clock))).status == 502
+    assert len(client.requests) == 1
+    assert asyncio.run(forwarder.handle(make_request(clock))).status == 503
+
+
 def _fingerprint(forwarder, clock):
     return forwarder._prepare(make_request(clock)).fingerprint
 
--- a/src/hibiscushaven/quarantine/detector.py
+++ b/src/hibiscushaven/quarantine/detector.py
@@ -98,6 +98,13 @@
             for confirmation in self._confirmations_of(lossy_servers):
                 confirmation.is_urgent.set()
 
+    async def wait_for_confirmation(self, fingerprint: str) -> None:
+        """Wait until the urgent checks that concern a request have ended."""
+        confirmations = self._confirmations_of(self._suspects.servers_of(fingerprint))
+        tasks = [item.task for item in confirmations if item.is_urgent.is_set()]
+        if tasks:
+            await asyncio.wait(tasks)
+
     def on_unreachable(self, now: float, server: ServerRecord) -> None:
         """Record that no connection to a server could be established."""
         crashes = self._suspects.pop_recent(now, server.process_id)
