Read, log and count the rate limits that backend servers announce

The limit that a server names in its answers was not read, so that nothing tells a VM that does not know the limit from one that divides it wrongly. Limits are read from answers and refusals and kept by start of the server; nothing is decided by them yet.

--- a/src/hibiscushaven/delivery/outcome.py
+++ b/src/hibiscushaven/delivery/outcome.py
@@ -4,6 +4,8 @@
 
 from hibiscushaven.outcomes import Outcome
 
+from .headers import Headers
+
 __all__ = ["AttemptError", "FailureKind", "Outcome", "outcome_of"]
 
 
@@ -68,12 +70,20 @@
 
     :ivar kind: how the attempt failed.
     :ivar retry_after_s: the backend server's ``Retry-After``, in seconds.
+    :ivar headers: headers of the server's own response that refused the request, if there is one.
     """
 
-    def __init__(self, kind: FailureKind, detail: str, retry_after_s: float | None = None) -> None:
+    def __init__(
+        self,
+        kind: FailureKind,
+        detail: str,
+        retry_after_s: float | None = None,
+        headers: Headers | None = None,
+    ) -> None:
         super().__init__(f"{kind.value}: {detail}")
         self.kind = kind
         self.retry_after_s = retry_after_s
+        self.headers = headers
 
     @property
     def outcome(self) -> Outcome:
--- a/src/hibiscushaven/forwarding/forwarder.py
+++ b/src/hibiscushaven/forwarding/forwarder.py
@@ -12,6 +12,7 @@
     AttemptResponse,
     BackendClient,
     FailureKind,
+    Headers,
 )
 from hibiscushaven.discovery import KnownServer
 from hibiscushaven.metrics import Metrics
@@ -21,6 +22,7 @@
     Placement,
     PlacementRejection,
     PlacementRequest,
+    RateLimit,
     RetryBudget,
     ServerLoad,
     ServerLoads,
@@ -66,6 +68,9 @@
     def read_load_report(self, head: AttemptResponse) -> LoadReport | None:
         """Return the load reported in the head of a response, or ``None`` if there is none."""
 
+    def read_rate_limit(self, headers: Headers) -> float | None:
+        """Return the requests per second that a server takes, ``None`` if it names no limit."""
+
 
 @dataclass(frozen=True, slots=True)
 class RetryBudgetOptions:
@@ -124,6 +129,7 @@
         self._now = clock.now
         self._on_load_change = on_load_change
         self._is_configuration_old = is_configuration_old
+        self._rate_limits = picker.rate_limits
         self._budgets: dict[str, RetryBudget] = {}
         self._splits = SplitChooser()
         self._caller_retries = CallerRetryDetector()
@@ -341,6 +347,8 @@
             load.on_response(now, None, is_failure=True, report=None)
         elif kind is FailureKind.MISDIRECTED:
             load.backoff_until = now + MISDIRECTED_BACKOFF_S
+        if error.headers is not None:
+            self._record_rate_limit(now, server, error.headers)
         self._reporter.attempt_failed(context, server_id, error)
         if kind.is_before_sending:
             context.connect_failures += 1
@@ -371,6 +379,7 @@
         load = self._loads.of(placement.server.record.server_id)
         is_failure = head.status >= 500
         report = self._load_reader.read_load_report(head)
+        self._record_rate_limit(now, placement.server, head.headers)
         relative_duration = None
         if not is_failure:
             relative_duration = self._record_processing_time(
@@ -399,6 +408,11 @@
             return None
         return response
 
+    def _record_rate_limit(self, now: float, server: KnownServer, headers: Headers) -> None:
+        limit = RateLimit(self._load_reader.read_rate_limit(headers), announced_at=now)
+        if self._rate_limits.update(server.record.process_id, limit):
+            self._reporter.rate_limit_announced(server.record.server_id, limit.per_s)
+
     def _on_timeout(self, now: float, context: RequestContext, load: ServerLoad) -> None:
         """Lower the estimated speed of the server if the attempt exceeded its predicted time."""
         placement = context.placement
--- a/src/hibiscushaven/forwarding/reporter.py
+++ b/src/hibiscushaven/forwarding/reporter.py
@@ -36,6 +36,18 @@
         )
         self._metrics.counter("attempts_failed_total", context.service, error.kind.value).add()
 
+    def rate_limit_announced(self, server_id: str, per_s: float | None) -> None:
+        """Log and count a changed rate limit of a backend server.
+
+        :param per_s: requests per second, ``None`` if the limit has ended.
+        """
+        _LOG.info(
+            "backend server changed its rate limit", extra={"server": server_id, "per_s": per_s}
+        )
+        self._metrics.counter(
+            "rate_limit_changes_total", request_class="ended" if per_s is None else "announced"
+        ).add()
+
     def request_ended(
         self,
         request: CallerRequest,
--- a/src/hibiscushaven/forwarding/tests/support.py
+++ b/src/hibiscushaven/forwarding/tests/support.py
@@ -67,6 +67,9 @@
     def read_load_report(self, head):
         return None
 
+    def read_rate_limit(self, headers):
+        return None
+
 
 def make_route(kind=RequestKind.SAFE, attempts=2, **fields):
     weighted_services = (WeightedService("stock", 1),)
--- a/src/hibiscushaven/gateway/tests/simulated_backends.py
+++ b/src/hibiscushaven/gateway/tests/simulated_backends.py
@@ -43,6 +43,9 @@
     def read_load_report(self, head):
         return LoadReport(1, 0, 4)
 
+    def read_rate_limit(self, headers):
+        return None
+
 
 class SimulatedBackends:
     """Backend servers of all regions, which register in the store of a simulated region.
--- a/src/hibiscushaven/placement/__init__.py
+++ b/src/hibiscushaven/placement/__init__.py
@@ -8,6 +8,7 @@
 from .budget import RetryBudget
 from .loads import LoadReport, ServerLoad, ServerLoads
 from .picker import Picker, PickerOptions, Placement, PlacementRejection
+from .rate_limits import RateLimit, RateLimitTable
 
 __all__ = [
     "LoadReport",
@@ -16,6 +17,8 @@
     "Placement",
     "PlacementRejection",
     "PlacementRequest",
+    "RateLimit",
+    "RateLimitTable",
     "RetryBudget",
     "ServerLoad",
     "ServerLoads",
--- a/src/hibiscushaven/placement/picker.py
+++ b/src/hibiscushaven/placement/picker.py
@@ -17,6 +17,7 @@
 )
 from .groups import ServerGroups
 from .loads import DEFAULT_OBJECTIVE_S, ProcessingTimes, ServerLoad, ServerLoads
+from .rate_limits import RateLimitTable
 from .region_shares import ASSUMED_UTILIZATION, RegionShares, target_shares
 from .warmup import SENDERS_PER_SERVER, WarmupRateLimiter
 
@@ -145,6 +146,7 @@
         self._view = view
         self._loads = loads
         self._warmup_limiter = WarmupRateLimiter()
+        self.rate_limits = RateLimitTable()
         self._order = RendezvousOrder()
         self._services: dict[str, _ServiceState] = {}
         self._operator = OperatorState()
--- a/src/hibiscushaven/platform/dialects.py
+++ b/src/hibiscushaven/platform/dialects.py
@@ -1,5 +1,6 @@
 """HTTP headers and paths that callers and backend servers use on the platform."""
 
+import logging
 import re
 from http.cookies import CookieError, SimpleCookie
 
@@ -20,6 +21,8 @@
 
 _MISDIRECTED = 421
 _UNSIGNED_INT = re.compile(r"[0-9]{1,9}")
+_LOG = logging.getLogger(__name__)
+_DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 _DEADLINE_HEADER = "Deadline-Ms"
 _OBJECT_KEY_COOKIE = "Affinity-Key"
 
@@ -84,7 +87,10 @@
             raise AttemptError(FailureKind.WRONG_ATTEMPT_ID, detail)
         if is_refused or head.status == _MISDIRECTED:
             stop = FailureKind.MISDIRECTED if head.status == _MISDIRECTED else FailureKind.REFUSED
-            raise AttemptError(stop, f"{request.server} answered {head.status}, not run")
+            detail = f"{request.server} answered {head.status}, not run"
+            # A response with 421 is that of another server at the address.
+            headers = head.headers if stop is FailureKind.REFUSED else None
+            raise AttemptError(stop, detail, headers=headers)
         if find_header(head.headers, "Content-Encoding") is not None:
             raise AttemptError(FailureKind.MALFORMED, f"{request.server} sent an encoded body")
         if head.status < 300 and (
@@ -104,6 +110,16 @@
         # The fourth field is the processing time in percent of the usual one.
         return LoadReport(running, waiting, slots, optional[0] / 100 if optional else 1.0)
 
+    def read_rate_limit(self, headers: Headers) -> float | None:
+        """Return the requests per second that a backend server takes, ``None`` without a limit."""
+        value = find_header(headers, "Server-Limit")
+        if value is None:
+            return None
+        if _DECIMAL.fullmatch(value.strip()) is None:
+            _LOG.info("malformed rate limit taken for none", extra={"value": value[:40]})
+            return None
+        return float(value)
+
 
 class PlatformDirectory:
     """Paths and format of the directory, which tells callers where to connect."""
--- a/src/hibiscushaven/platform/tests/test_backends.py
+++ b/src/hibiscushaven/platform/tests/test_backends.py
@@ -256,3 +256,20 @@
         return while_running, await client.can_connect(server)
 
     assert asyncio.run(main()) == (True, False)
+
+
+@pytest.mark.parametrize(
+    "value, per_s",
+    [("6.9", 6.9), ("0", 0.0), (" 12 ", 12.0), (None, None)]
+    + [(value, None) for value in ("", "-1", "nan", "1e9", "7 a second", "9" * 400)],
+)
+def test_rate_limit_is_a_decimal_number(value, per_s):
+    """Guards against a malformed limit that stops or floods a server."""
+    headers = () if value is None else (("Server-Limit", value),)
+    assert PlatformBackends().read_rate_limit(headers) == per_s
+
+
+def test_refusal_carries_the_rate_limit_of_its_server():
+    """Guards against a limit that is not read since it comes with a refusal."""
+    results, _ = attempt_all([response(status=503, Not_Executed="1", Server_Limit="6.9")])
+    assert PlatformBackends().read_rate_limit(results[0].headers) == 6.9
