Refuse no request whose crashes another one accounts for

Cause: two crashes suffice, and a request that often runs beside the crashing one may have both. Change: a request is not refused while another one was in progress at all of its crashes and at more. Further crashes of a refused request are therefore recorded as well. Ruled out: three crashes instead of two, which costs one more server for each such request. Test: test_request_that_ran_beside_a_crashing_one_twice_is_refused_no_longer_than_needed, which failed before.

--- a/src/hibiscushaven/quarantine/crashes.py
+++ b/src/hibiscushaven/quarantine/crashes.py
@@ -76,6 +76,10 @@
     refused_until: float | None = None
     is_local: bool = True
 
+    @property
+    def servers(self) -> frozenset[str]:
+        return frozenset(crash.server for crash in self.crashes)
+
     @property
     def last_crash_at(self) -> float:
         return max((crash.crashed_at for crash in self.crashes), default=float("-inf"))
@@ -89,8 +93,9 @@
 
     A fingerprint is quarantined once a backend server crashed while it was in progress, and it was
     then sent again and another server crashed. A single event that takes down two servers with both
-    attempts of a hedged request is thus not attributed to the request. The number of fingerprints
-    is bounded by ``MAX_FINGERPRINTS``.
+    attempts of a hedged request is thus not attributed to the request. A fingerprint is not refused
+    either while another one was in progress at all of its crashes and at more: it probably ran
+    beside that one. The number of fingerprints is bounded by ``MAX_FINGERPRINTS``.
 
     Examples
     ========
@@ -127,7 +132,7 @@
     def remaining_s(self, now: float, fingerprint: str) -> float:
         """Return the time for which the fingerprint is still refused, in seconds."""
         entry = self._entries.get(fingerprint)
-        if entry is None or entry.refused_until is None:
+        if entry is None or entry.refused_until is None or self._is_explained(entry):
             return 0.0
         return max(0.0, entry.refused_until - now)
 
@@ -234,6 +239,11 @@
                 entry.refused_until = max(entry.refused_until, until)
         self._evict(now)
 
+    def _is_explained(self, entry: _Entry) -> bool:
+        """Return whether another fingerprint accounts for all crashes of this one, and for more."""
+        servers = entry.servers
+        return bool(servers) and any(servers < other.servers for other in self._entries.values())
+
     def _is_shared(self, now: float, entry: _Entry) -> bool:
         if entry.refused_until is not None:
             return now < entry.refused_until
@@ -298,7 +308,9 @@
             self._entries.popitem(last=False)
 
     def _is_expired(self, now: float, fingerprint: str) -> bool:
-        return not (self.is_suspect(now, fingerprint) or self.is_quarantined(now, fingerprint))
+        refused_until = self._entries[fingerprint].refused_until
+        is_refused = refused_until is not None and now < refused_until
+        return not (is_refused or self.is_suspect(now, fingerprint))
 
 
 def _with_crash(crashes: Sequence[CrashRecord], crash: CrashRecord) -> list[CrashRecord]:
--- a/src/hibiscushaven/quarantine/tests/test_crashes.py
+++ b/src/hibiscushaven/quarantine/tests/test_crashes.py
@@ -138,6 +138,18 @@
     assert not observer.is_quarantined(3.3, "x") and observer.is_suspect(3.3, "x")
 
 
+def test_request_that_ran_beside_a_crashing_one_twice_is_refused_no_longer_than_needed():
+    """Guards against the quarantine of a request whose crashes another one accounts for."""
+    ledger = CrashLedger()
+    ledger.record(1.0, "a", {"poison": 0.9, "neighbour": 0.8})
+    ledger.record(2.0, "b", {"poison": 1.9, "neighbour": 1.8})
+    assert ledger.is_quarantined(2.5, "poison") and ledger.is_quarantined(2.5, "neighbour")
+    ledger.record(2.1, "c", {"poison": 1.95})
+    assert ledger.is_quarantined(2.5, "poison") and not ledger.is_quarantined(2.5, "neighbour")
+    ledger.record(3.0, "d", {"neighbour": 2.9})
+    assert ledger.is_quarantined(3.1, "poison") and ledger.is_quarantined(3.1, "neighbour")
+
+
 events = st.tuples(
     st.sampled_from("xy"),
     st.sampled_from("abc"),
