Test that all VMs together keep a server's rate limit, listed as failing

Two regions of eight VMs run in virtual time with 16 servers, two of which announce a limit, for callers that are spread evenly or not and while VMs start and stop.

--- a/src/hibiscushaven/gateway/tests/simulated_backends.py
+++ b/src/hibiscushaven/gateway/tests/simulated_backends.py
@@ -4,7 +4,7 @@
 import random
 from dataclasses import replace
 
-from hibiscushaven.delivery import AttemptError, FailureKind
+from hibiscushaven.delivery import AttemptError, FailureKind, find_header
 from hibiscushaven.forwarding import RetryBudgetOptions
 from hibiscushaven.forwarding.tests.support import Head, make_request
 from hibiscushaven.gateway.daemon import make_forwarder
@@ -37,14 +37,18 @@
 OBJECTS = 40
 
 
+LIMIT_HEADER = "X-Limit"
+
+
 class IdleLoadReader:
-    """Reads a report of the usual speed from each response."""
+    """Reads a report of the usual speed, and the rate limit if there is one, from each response."""
 
     def read_load_report(self, head):
         return LoadReport(1, 0, 4)
 
     def read_rate_limit(self, headers):
-        return None
+        value = find_header(headers, LIMIT_HEADER)
+        return float(value) if value is not None else None
 
 
 class SimulatedBackends:
@@ -54,6 +58,9 @@
     :param servers: number of servers by failure domain.
     :ivar crashes: times at which a request crashed a server.
     :ivar arrivals: times at which the crashing request reached a server.
+    :ivar limits_per_s: rate limits that servers announce with their responses, by server.
+    :ivar limited_arrivals: time, VM and server of each request that reached a limited server.
+    :ivar told_at: time at which a VM first received the limit of a server, by VM and server.
     """
 
     def __init__(self, region, servers):
@@ -63,6 +70,9 @@
         self._in_progress = {}
         self.crashes = []
         self.arrivals = []
+        self.limits_per_s = {}
+        self.limited_arrivals = []
+        self.told_at = {}
         records = [
             replace(
                 make_record(f"{domain}-{number}", started_unix_ms=1),
@@ -75,11 +85,17 @@
         self._records = {record.server_id: record for record in records}
         region.put_servers(records)
 
-    async def attempt(self, request):
+    def client_of(self, vm):
+        """Return the client of a VM."""
+        return SimulatedClient(self, vm)
+
+    async def attempt(self, request, vm):
         """Run a request on its server, as ``BackendClient.attempt`` does."""
         name = request.server_id
         if self._now() < self._up_at.get(name, 0.0):
             raise AttemptError(FailureKind.NOT_CONNECTED, "refused")
+        if name in self.limits_per_s:
+            self.limited_arrivals.append((self._now(), vm, name))
         end = self._in_progress.setdefault(name, asyncio.get_running_loop().create_future())
         is_crashing = request.target == CRASHING_PATH
         if is_crashing:
@@ -90,7 +106,14 @@
             self._crash(name)
         if end.done():
             raise AttemptError(FailureKind.CONNECTION_LOST, "reset")
-        return Head()
+        return self._respond(vm, name)
+
+    def _respond(self, vm, name):
+        head = Head()
+        if name in self.limits_per_s:
+            self.told_at.setdefault((vm, name), self._now())
+            head.headers = ((LIMIT_HEADER, str(self.limits_per_s[name])),)
+        return head
 
     async def can_connect(self, server):
         """Return whether a server runs, as ``BackendClient.can_connect`` does."""
@@ -113,6 +136,20 @@
         self._region.put_servers(self._records.values())
 
 
+class SimulatedClient:
+    """Client of one VM, as ``BackendClient``."""
+
+    def __init__(self, backends, vm):
+        self._backends = backends
+        self._vm = vm
+
+    async def attempt(self, request):
+        return await self._backends.attempt(request, self._vm)
+
+    async def can_connect(self, server):
+        return await self._backends.can_connect(server)
+
+
 class SimulatedTraffic:
     """Forwarders of all VMs of a simulated region, and requests that arrive at any of them.
 
@@ -131,18 +168,33 @@
         region.operator = OperatorState(
             region.operator.version + 1, Configuration(2, routes, {"stock": options})
         )
+        self._backends = backends
+        self._configuration = region.operator.configuration
         self._forwarders = {}
+        self._weights = {}
         for name, node in region.nodes.items():
-            forwarder = make_forwarder(
-                node,
-                backends,
-                IdleLoadReader(),
-                RetryBudgetOptions(10.0, 0.2, 130.0),
-                Metrics(),
-                LoopClock(),
-            )
-            forwarder.set_configuration(region.operator.configuration)
-            self._forwarders[name] = forwarder
+            self.add_vm(name, node)
+
+    def add_vm(self, name, node, weight=1.0):
+        """Let requests arrive at a VM.
+
+        :param weight: its part of the requests relative to those of other VMs.
+        """
+        forwarder = make_forwarder(
+            node,
+            self._backends.client_of(name),
+            IdleLoadReader(),
+            RetryBudgetOptions(10.0, 0.2, 130.0),
+            Metrics(),
+            LoopClock(),
+        )
+        forwarder.set_configuration(self._configuration)
+        self._forwarders[name] = forwarder
+        self._weights[name] = weight
+
+    def remove_vm(self, name):
+        """Let no more requests arrive at a VM."""
+        del self._forwarders[name], self._weights[name]
 
     def fingerprint_of(self, path):
         """Return the fingerprint of the requests with a path."""
@@ -151,12 +203,15 @@
 
     def send(self, path, key):
         """Let a request arrive at a random VM."""
-        forwarder = self._rng.choice(list(self._forwarders.values()))
+        (name,) = self._rng.choices(list(self._weights), self._weights.values())
+        forwarder = self._forwarders[name]
         task = asyncio.create_task(self._request(forwarder, path, key))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def run(self, duration_s, crashing_interval_s, arrivals_per_s=ARRIVALS_PER_S):
+    async def run(
+        self, duration_s, crashing_interval_s=float("inf"), arrivals_per_s=ARRIVALS_PER_S
+    ):
         """Let requests about random objects arrive, and the crashing one at an interval."""
         now = LoopClock().now
         end, next_crashing = now() + duration_s, now() + crashing_interval_s
