--- a/src/hibiscushaven/gateway/crash_exchange.py
+++ b/src/hibiscushaven/gateway/crash_exchange.py
@@ -1,7 +1,6 @@
 """Exchange of crash evidence between the VMs of all regions."""
 
 import logging
-import random
 from collections.abc import Callable
 
 from hibiscushaven.fleet import CrashReport, FleetView
@@ -9,54 +8,29 @@
 from hibiscushaven.process import Clock
 from hibiscushaven.quarantine import CrashEvidence, CrashLedger, CrashRecord
 
+from .gossip import Gossip
+
 __all__ = ["CrashExchange"]
 
 _LOG = logging.getLogger(__name__)
 
-# VMs to which new evidence is passed on in each round. With five rounds, a share of e^-20 of the
-# VMs is left out if no datagram is lost.
-FANOUT = 4
-
-# Rounds in which a VM passes on evidence that is new to it; the node makes a round each 0.2 s.
-ROUNDS = 5
-
-# Interval at which evidence is repeated to one VM, for those that missed it or started later.
-REPEAT_INTERVAL_S = 1.0
-
 
 class CrashExchange:
-    """Spreads the crashes that a VM knows to randomly chosen others.
-
-    Explanation
-    ===========
-
-    A request that crashes backend servers may come again at any VM of any region, so that all of
-    them must know what each has seen. Evidence is rare and small. A VM passes on what is new to
-    it in a few rounds, so that the number of messages does not grow with the square of the number
-    of VMs, and then repeats it from time to time while it is of use.
+    """Shares the crashes that a VM knows, since a request may come again at any other.
 
-    :param send: sends a datagram to the address of a VM.
+    :ivar gossip: spreads the evidence.
     """
 
     def __init__(
         self,
         ledger: CrashLedger,
         view: FleetView,
-        send: Callable[[bytes, str], None],
         clock: Clock,
+        send: Callable[[bytes, str], None],
     ) -> None:
         self._ledger = ledger
-        self._view = view
-        self._send = send
         self._now = clock.now
-        self._random = random.Random(view.name)
-        self._rounds_left = 0
-        self._repeated_at = float("-inf")
-
-    def share_soon(self) -> None:
-        """Pass on the evidence now and in the next rounds, since some of it is new."""
-        self._rounds_left = ROUNDS
-        self._share(FANOUT)
+        self.gossip = Gossip(view, clock, self._make_datagram, send)
 
     def on_report(self, report: CrashReport) -> None:
         """Add the evidence of another VM."""
@@ -67,35 +41,12 @@
                 extra={"fingerprint": fingerprint},
             )
         if is_new:
-            self._rounds_left = ROUNDS
+            self.gossip.pass_on()
 
-    def on_vm_up(self, peers_at: str) -> None:
-        """Let a VM that started or returned know the evidence; some of its peers do so each."""
-        evidence = self._ledger.evidence(self._now())
-        if evidence.is_empty:
-            return
-        peers = len(self._view.live_peers(self._now()))
-        if self._random.random() < FANOUT / max(1, peers):
-            self._send(encode(_to_report(self._now(), evidence)), peers_at)
-
-    def step(self) -> None:
-        """Make one round."""
+    def _make_datagram(self) -> bytes | None:
         now = self._now()
-        if self._rounds_left > 0:
-            self._rounds_left -= 1
-            self._share(FANOUT)
-        elif now - self._repeated_at >= REPEAT_INTERVAL_S:
-            self._share(1)
-
-    def _share(self, count: int) -> None:
-        self._repeated_at = self._now()
-        evidence = self._ledger.evidence(self._now())
-        if evidence.is_empty:
-            return
-        peers = self._view.live_peers(self._now())
-        datagram = encode(_to_report(self._now(), evidence))
-        for peer in self._random.sample(peers, min(count, len(peers))):
-            self._send(datagram, peer.peers_at)
+        evidence = self._ledger.evidence(now)
+        return None if evidence.is_empty else encode(_to_report(now, evidence))
 
 
 def _to_report(now: float, evidence: CrashEvidence) -> CrashReport:
--- a/src/hibiscushaven/gateway/daemon.py
+++ b/src/hibiscushaven/gateway/daemon.py
@@ -293,7 +293,7 @@
         node.on_load_change,
         node.is_configuration_old,
         node.crashes,
-        node.crash_exchange.share_soon,
+        node.crash_exchange.gossip.share_now,
     )
 
 
--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -137,12 +137,7 @@
             self._pull, clock, self._reporter, self._on_sync_response, self._on_pull_delay
         )
         self.crashes = CrashLedger()
-        self.crash_exchange = CrashExchange(
-            self.crashes,
-            self.view,
-            lambda datagram, peer: self._transport.send(datagram, peer),
-            clock,
-        )
+        self.crash_exchange = CrashExchange(self.crashes, self.view, clock, self._send_datagram)
         self._operator = OperatorState()
         self._incarnation = random.getrandbits(31)
         self._sequence = 0
@@ -287,7 +282,7 @@
         if self.view.on_state(now, message):
             _LOG.info("VM is up", extra={"peer": message.name, "region": message.region})
             self._transport.send(encode(self._state()), message.peers_at)
-            self.crash_exchange.on_vm_up(message.peers_at)
+            self.crash_exchange.gossip.on_vm_up(message.peers_at)
         self._presume_lost_servers_cold(now, message.lost_server_ages_s)
         if message.region == self._options.region:
             self._compare_versions(now, message.name, message)
@@ -472,6 +467,9 @@
             return
         self._send(encode(self._state()), recipients)
 
+    def _send_datagram(self, datagram: bytes, address: str) -> None:
+        self._transport.send(datagram, address)
+
     def _send(self, datagram: bytes, recipients: Iterable[VmState]) -> None:
         for recipient in recipients:
             self._transport.send(datagram, recipient.peers_at)
@@ -551,7 +549,7 @@
             _LOG.info("VM went silent", extra={"peer": name})
         if self.registry.expire(now):
             self._on_registry_change("expiry")
-        self.crash_exchange.step()
+        self.crash_exchange.gossip.step()
         self._presume_own_lost_servers_cold(now)
         self._arrivals.update(now)
         self.picker.update_region_shares(now, self._arrivals.by_token())
