Share the rate limits of backend servers between the VMs of all regions

A VM that sends little to a server learns of its limit late, and once it sends nothing, never of the end. VMs tell each other what a server announced last, with its age, by the same spreading as for crash evidence. Limits are kept by start of the server. Nothing is decided by the limits yet.

--- a/src/hibiscushaven/fleet/__init__.py
+++ b/src/hibiscushaven/fleet/__init__.py
@@ -1,7 +1,15 @@
 """Exchange of state between VMs, and one VM's view of the others."""
 
 from .intervals import digest_interval_s
-from .messages import CrashReport, Message, MessageError, RegionDigest, VmState, token_of
+from .messages import (
+    CrashReport,
+    Message,
+    MessageError,
+    RateLimitReport,
+    RegionDigest,
+    VmState,
+    token_of,
+)
 from .sync import SyncResponse
 from .transport import FleetTransport
 from .view import FleetView
@@ -12,6 +20,7 @@
     "FleetView",
     "Message",
     "MessageError",
+    "RateLimitReport",
     "RegionDigest",
     "SyncResponse",
     "VmState",
--- a/src/hibiscushaven/fleet/messages.py
+++ b/src/hibiscushaven/fleet/messages.py
@@ -11,6 +11,7 @@
     "CrashReport",
     "Message",
     "MessageError",
+    "RateLimitReport",
     "RegionDigest",
     "VmState",
     "decode",
@@ -130,10 +131,23 @@
     completed_ages_s: Mapping[str, float] = field(default_factory=dict)
 
 
-Message = VmState | RegionDigest | CrashReport
+@dataclass(frozen=True, slots=True)
+class RateLimitReport:
+    """Rate limits that backend servers announced, as known to the sender.
+
+    :ivar per_s: requests per second that a server takes from all VMs together, by its process id;
+        negative if its limit has ended.
+    :ivar ages_s: seconds since the server announced that, by its process id.
+    """
+
+    per_s: Mapping[str, float] = field(default_factory=dict)
+    ages_s: Mapping[str, float] = field(default_factory=dict)
+
+
+Message = VmState | RegionDigest | CrashReport | RateLimitReport
 
 # The index of a type identifies it in datagrams.
-_TYPES: tuple[type, ...] = (VmState, RegionDigest, CrashReport)
+_TYPES: tuple[type, ...] = (VmState, RegionDigest, CrashReport, RateLimitReport)
 
 
 def encode(message: Message) -> bytes:
@@ -183,9 +197,12 @@
         is_list = isinstance(crashes, list | tuple)
         if not (isinstance(fingerprint, str) and is_list and all(map(_is_crash, crashes))):
             raise MessageError(f"crashes: {fingerprint!r}: {crashes!r} is not a list of crashes")
-    for fingerprint, age_s in getattr(message, "completed_ages_s", {}).items():
-        if not (isinstance(fingerprint, str) and isinstance(age_s, int | float)):
-            raise MessageError(f"completed_ages_s: {fingerprint!r}: {age_s!r} is not an age")
+    for name in ("completed_ages_s", "per_s", "ages_s"):
+        for key, value in getattr(message, name, {}).items():
+            if not (isinstance(key, str) and isinstance(value, int | float)):
+                raise MessageError(f"{name}: {key!r}: {value!r} does not map a text to a number")
+    if isinstance(message, RateLimitReport) and message.per_s.keys() != message.ages_s.keys():
+        raise MessageError(f"per_s and ages_s name different servers: {sorted(message.per_s)!r}")
     return message
 
 
--- a/src/hibiscushaven/forwarding/forwarder.py
+++ b/src/hibiscushaven/forwarding/forwarder.py
@@ -102,6 +102,7 @@
     :param is_configuration_old: returns whether a peer has a newer configuration than this VM.
     :param crashes: crashes that any VM has observed; by default those observed here.
     :param on_crash_evidence: called when ``crashes`` has changed.
+    :param on_rate_limit_change: called when a server has announced another rate limit.
     """
 
     def __init__(
@@ -118,6 +119,7 @@
         is_configuration_old: Callable[[], bool] = lambda: False,
         crashes: CrashLedger | None = None,
         on_crash_evidence: Callable[[], None] = lambda: None,
+        on_rate_limit_change: Callable[[], None] = lambda: None,
     ) -> None:
         self._picker = picker
         self._loads = loads
@@ -130,6 +132,7 @@
         self._on_load_change = on_load_change
         self._is_configuration_old = is_configuration_old
         self._rate_limits = picker.rate_limits
+        self._on_rate_limit_change = on_rate_limit_change
         self._budgets: dict[str, RetryBudget] = {}
         self._splits = SplitChooser()
         self._caller_retries = CallerRetryDetector()
@@ -412,6 +415,7 @@
         limit = RateLimit(self._load_reader.read_rate_limit(headers), announced_at=now)
         if self._rate_limits.update(server.record.process_id, limit):
             self._reporter.rate_limit_announced(server.record.server_id, limit.per_s)
+            self._on_rate_limit_change()
 
     def _on_timeout(self, now: float, context: RequestContext, load: ServerLoad) -> None:
         """Lower the estimated speed of the server if the attempt exceeded its predicted time."""
--- a/src/hibiscushaven/gateway/daemon.py
+++ b/src/hibiscushaven/gateway/daemon.py
@@ -294,6 +294,7 @@
         node.is_configuration_old,
         node.crashes,
         node.crash_exchange.gossip.share_now,
+        node.rate_limit_exchange.gossip.share_now,
     )
 
 
--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -13,6 +13,7 @@
     FleetTransport,
     FleetView,
     Message,
+    RateLimitReport,
     RegionDigest,
     SyncResponse,
     VmState,
@@ -29,9 +30,11 @@
 
 from .arrivals import ArrivalRates
 from .crash_exchange import CrashExchange
+from .gossip import Gossip
 from .options import GatewayOptions
 from .ports import PlatformStore, ServerListing, StoreError, VmAddress
 from .puller import PeerPuller
+from .rate_limit_exchange import RateLimitExchange
 from .reader import StoreReader
 from .state_change_logger import StateChangeLogger
 from .sync_reporter import SyncReporter
@@ -138,6 +141,9 @@
         )
         self.crashes = CrashLedger()
         self.crash_exchange = CrashExchange(self.crashes, self.view, clock, self._send_datagram)
+        self.rate_limit_exchange = RateLimitExchange(
+            self.picker.rate_limits, self.view, clock, self._send_datagram
+        )
         self._operator = OperatorState()
         self._incarnation = random.getrandbits(31)
         self._sequence = 0
@@ -274,6 +280,9 @@
         if isinstance(message, CrashReport):
             self.crash_exchange.on_report(message)
             return
+        if isinstance(message, RateLimitReport):
+            self.rate_limit_exchange.on_report(message)
+            return
         if isinstance(message, RegionDigest):
             self._on_digest(now, message)
             return
@@ -282,7 +291,8 @@
         if self.view.on_state(now, message):
             _LOG.info("VM is up", extra={"peer": message.name, "region": message.region})
             self._transport.send(encode(self._state()), message.peers_at)
-            self.crash_exchange.gossip.on_vm_up(message.peers_at)
+            for gossip in self._gossips():
+                gossip.on_vm_up(message.peers_at)
         self._presume_lost_servers_cold(now, message.lost_server_ages_s)
         if message.region == self._options.region:
             self._compare_versions(now, message.name, message)
@@ -467,6 +477,9 @@
             return
         self._send(encode(self._state()), recipients)
 
+    def _gossips(self) -> tuple[Gossip, ...]:
+        return self.crash_exchange.gossip, self.rate_limit_exchange.gossip
+
     def _send_datagram(self, datagram: bytes, address: str) -> None:
         self._transport.send(datagram, address)
 
@@ -549,7 +562,8 @@
             _LOG.info("VM went silent", extra={"peer": name})
         if self.registry.expire(now):
             self._on_registry_change("expiry")
-        self.crash_exchange.gossip.step()
+        for gossip in self._gossips():
+            gossip.step()
         self._presume_own_lost_servers_cold(now)
         self._arrivals.update(now)
         self.picker.update_region_shares(now, self._arrivals.by_token())
@@ -637,6 +651,9 @@
         names = frozenset(self.registry.servers)
         self.loads.retain_only(names)
         self.picker.retain_only(names)
+        self.picker.rate_limits.retain_only(
+            frozenset(server.record.process_id for server in self.registry.servers.values())
+        )
         addresses = frozenset(server.record.address for server in self.registry.servers.values())
         for address in self._server_addresses - addresses:
             self._on_address_removed(address)
