Let refused callers return when a limited server takes another request

What callers saw: where only limited servers are left, the retry delay was the time left to the deadline, since servers without a free share were not asked for their wait. Found while the limits were built in. The delay is now the time until this VM's share allows a request, or the mean time between two that the server takes from others. Test: test_rejected_request_may_return_when_a_limited_server_takes_another_one, which failed before (0.8 s in place of 0.5 s).

--- a/src/hibiscushaven/placement/picker.py
+++ b/src/hibiscushaven/placement/picker.py
@@ -390,7 +390,12 @@
         for server_id in order:
             server = by_id[server_id]
             load = self._loads.of(server_id)
-            if load.is_unavailable(now, state.times.miss_s) or not self._may_send_to(now, server):
+            if load.is_unavailable(now, state.times.miss_s):
+                continue
+            if not self._may_send_to(now, server):
+                limit_wait_s = self._rate_limiter.wait_s(now, server.record.process_id)
+                if limit_wait_s > 0:
+                    shortest_wait_s = min(shortest_wait_s, limit_wait_s)
                 continue
             in_progress = self.in_progress(server_id)
             is_cached = False
--- a/src/hibiscushaven/placement/tests/test_picker.py
+++ b/src/hibiscushaven/placement/tests/test_picker.py
@@ -11,6 +11,7 @@
     Placement,
     PlacementRejection,
     PlacementRequest,
+    RateLimit,
     ServerLoads,
     cache_hit_counter,
     cache_lookup_counter,
@@ -109,6 +110,17 @@
     assert 0.0 < refused.retry_after_s < 0.8
 
 
+def test_rejected_request_may_return_when_a_limited_server_takes_another_one():
+    """Guards against a retry delay as long as the deadline while servers are limited."""
+    fixture = PickerFixture(*serra_records(2))
+    for record in serra_records(2):
+        fixture.picker.rate_limits.update(record.process_id, RateLimit(2.0, announced_at=0.0))
+    refused = fixture.pick()
+    assert isinstance(refused, PlacementRejection)
+    assert refused.retry_after_s == 0.5
+    assert isinstance(fixture.pick(now=0.5), Placement)
+
+
 def test_leaving_evacuated_and_excluded_servers_are_not_chosen():
     """Guards against requests to servers that are stopping or have already failed the request."""
     fixture = PickerFixture(
