Count a limited server by its rate when requests are shared between regions

What callers saw: nothing yet; found while the limits were built in. A region whose servers take few requests still counted with all their slots, so that its requests stayed and found no server that may take them, while other regions had room. A limited server now counts with the slots that its rate is worth. Test: test_requests_move_away_from_a_region_whose_servers_are_limited, which failed before (all requests stayed).

--- a/src/hibiscushaven/placement/picker.py
+++ b/src/hibiscushaven/placement/picker.py
@@ -18,7 +18,7 @@
 from .groups import ServerGroups
 from .loads import DEFAULT_OBJECTIVE_S, ProcessingTimes, ServerLoad, ServerLoads
 from .rate_limits import RateLimitTable, SharedRateLimiter
-from .region_shares import ASSUMED_UTILIZATION, RegionShares, target_shares
+from .region_shares import ASSUMED_UTILIZATION, RegionShares, slots_of_rate, target_shares
 from .warmup import SENDERS_PER_SERVER, WarmupRateLimiter
 
 __all__ = ["Picker", "PickerOptions", "Placement", "PlacementRejection"]
@@ -247,7 +247,7 @@
             rates = {region: rates.get(token, 0.0) for region, rates in arrivals.items()}
             state = self._state(service)
             slots = {
-                region: sum(item.record.slots for item in servers)
+                region: sum(self._usable_slots(item, state.times.mean_s) for item in servers)
                 for region, servers in self.usable_servers(service).items()
             }
             if sum(rates.values()) < 1.0:
@@ -259,6 +259,13 @@
             state.shares.update(now, targets[self._options.region])
             self._update_replication(now, service, arrivals.values(), state)
 
+    def _usable_slots(self, server: KnownServer, processing_s: float) -> float:
+        """Return the slots of a server, or as many as the rate that it takes is worth."""
+        limit_per_s = self.rate_limits.limit_of(server.record.process_id)
+        if limit_per_s is None:
+            return server.record.slots
+        return min(server.record.slots, slots_of_rate(limit_per_s, processing_s))
+
     def replication_factors(self, service: str) -> Mapping[str, float]:
         """Return the mean number of servers that should cache each object, by region."""
         return {name: factor.value for name, factor in self._state(service).replication.items()}
@@ -480,7 +487,7 @@
 
 
 def _assumed_arrivals(
-    regions: Mapping[str, str], slots: Mapping[str, int], processing_s: float
+    regions: Mapping[str, str], slots: Mapping[str, float], processing_s: float
 ) -> dict[str, float]:
     """Return equal arrival rates in all regions that add up to ``ASSUMED_UTILIZATION``."""
     names = set(regions.values())
--- a/src/hibiscushaven/placement/region_shares.py
+++ b/src/hibiscushaven/placement/region_shares.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping
 
-__all__ = ["RegionShares", "target_shares"]
+__all__ = ["RegionShares", "slots_of_rate", "target_shares"]
 
 # Utilization of a region's slots up to which it keeps its own requests. Above it, waiting for a
 # slot takes longer than the round trip to another region.
@@ -15,7 +15,7 @@
 def target_shares(
     region: str,
     arrivals: Mapping[str, float],
-    slots: Mapping[str, int],
+    slots: Mapping[str, float],
     processing_s: float,
 ) -> dict[str, float]:
     """Return the fraction of a region's requests that each region should process.
@@ -74,6 +74,19 @@
     }
 
 
+def slots_of_rate(rate_per_s: float, processing_s: float) -> float:
+    """Return the number of slots that a region would keep busy with a rate of its own requests.
+
+    Examples
+    ========
+
+    >>> round(slots_of_rate(6.0, processing_s=0.2), 3)
+    2.0
+
+    """
+    return rate_per_s * processing_s / MAX_LOCAL_UTILIZATION
+
+
 def _proportions(amounts: Mapping[str, float]) -> dict[str, float]:
     total = sum(amounts.values())
     return {name: amount / total for name, amount in amounts.items()} if total else {}
--- a/src/hibiscushaven/placement/tests/test_picker.py
+++ b/src/hibiscushaven/placement/tests/test_picker.py
@@ -121,6 +121,20 @@
     assert isinstance(fixture.pick(now=0.5), Placement)
 
 
+def test_requests_move_away_from_a_region_whose_servers_are_limited():
+    """Guards against requests that stay, and are refused, where limits leave no room for them."""
+    records = [*serra_records(4), *(make_record(f"v{number}", "vale-a") for number in range(4))]
+    fixture = PickerFixture(*records)
+    rates = {token_of("stock"): 40.0}
+    assert fixture.picker.region_shares("stock") == {"serra": 1.0}
+    for record in records[:4]:
+        fixture.picker.rate_limits.update(record.process_id, RateLimit(2.0, announced_at=0.0))
+    for now in range(1, 40):
+        fixture.picker.update_region_shares(float(now), rates)
+    shares = fixture.picker.region_shares("stock")
+    assert 0.1 < shares["serra"] < 0.3 and 0.7 < shares["vale"] < 0.9
+
+
 def test_leaving_evacuated_and_excluded_servers_are_not_chosen():
     """Guards against requests to servers that are stopping or have already failed the request."""
     fixture = PickerFixture(
