Let the retry budget of a VM that starts grow over one window

What callers saw: repeats beyond what is allowed were reported, with one case that is explained by requests that crash servers. This is the same cause elsewhere, shown by a simulation only: each VM that starts counted from nothing and took a whole share, divided by the VMs that it knew by then, itself at first. Change: the share is zero for 2 s, in which the VM finds the others, and grows over one window, so that a restart of all VMs adds to their earlier retries no more than these leave room for.

--- a/src/hibiscushaven/forwarding/forwarder.py
+++ b/src/hibiscushaven/forwarding/forwarder.py
@@ -129,6 +129,7 @@
         self._reporter = Reporter(metrics, clock)
         self._vm_count = vm_count
         self._now = clock.now
+        self._started_at = clock.now()
         self._on_load_change = on_load_change
         self._is_configuration_old = is_configuration_old
         self._rate_limits = picker.rate_limits
@@ -270,7 +271,9 @@
         budget = self._budgets.get(service)
         if budget is None:
             options = self._budget_options
-            budget = RetryBudget(options.window_s, options.ratio, options.fixed_retries)
+            budget = RetryBudget(
+                options.window_s, options.ratio, options.fixed_retries, self._started_at
+            )
             self._budgets[service] = budget
         return budget
 
--- a/src/hibiscushaven/forwarding/tests/support.py
+++ b/src/hibiscushaven/forwarding/tests/support.py
@@ -9,6 +9,7 @@
 from hibiscushaven.ini.fields import Endpoint
 from hibiscushaven.metrics import Metrics
 from hibiscushaven.placement import Picker, PickerOptions, ServerLoads
+from hibiscushaven.placement.budget import DISCOVERY_S
 from hibiscushaven.process.tests.support import VirtualClock
 from hibiscushaven.routing import (
     Configuration,
@@ -100,6 +101,8 @@
         lambda: vms,
         clock,
     )
+    # The retry budget of a VM that has just started is empty.
+    clock.time += DISCOVERY_S + forwarder._budget_options.window_s
     services = {"stock": ServiceOptions("stock")}
     configuration = Configuration(1, (route or make_route(),), services)
     picker.set_operator_state(OperatorState(1, configuration))
--- a/src/hibiscushaven/placement/budget.py
+++ b/src/hibiscushaven/placement/budget.py
@@ -10,6 +10,10 @@
 # from one VM to another, and for windows that do not start at the boundary of a bucket.
 USABLE_FRACTION = 0.8
 
+# Time after its start in which a VM may not know the others, and so would take a share that is
+# too large.
+DISCOVERY_S = 2.0
+
 
 class RetryBudget:
     """This VM's share of a service's retry budget over a sliding window.
@@ -21,8 +25,12 @@
     that fraction of its own requests plus its share of the fixed number, so that the total is
     within the budget although the VMs do not share their counts.
 
+    A VM that starts does not know what it retried before, nor at first the other VMs, so that its
+    share is zero at first and then grows over one window.
+
     :param ratio: allowed retries per request.
     :param fixed_retries: number of retries that all VMs together may add in a window.
+    :param started_at: time at which this VM began to count.
 
     Examples
     ========
@@ -33,10 +41,17 @@
 
     """
 
-    def __init__(self, window_s: float, ratio: float, fixed_retries: float) -> None:
+    def __init__(
+        self,
+        window_s: float,
+        ratio: float,
+        fixed_retries: float,
+        started_at: float = float("-inf"),
+    ) -> None:
         self._window_s = window_s
         self._ratio = ratio
         self._fixed_retries = fixed_retries
+        self._started_at = started_at
         # Each bucket: start time, number of requests, number of retries.
         self._buckets: deque[list[float]] = deque()
 
@@ -58,7 +73,10 @@
         bucket = self._bucket(now)
         requests = sum(item[1] for item in self._buckets)
         retries = sum(item[2] for item in self._buckets)
-        allowed = USABLE_FRACTION * (self._ratio * requests + self._fixed_retries / max(1, vms))
+        known_s = now - self._started_at - DISCOVERY_S
+        known_fraction = min(1.0, max(0.0, known_s / self._window_s))
+        allowed = self._ratio * requests + self._fixed_retries / max(1, vms)
+        allowed *= USABLE_FRACTION * known_fraction
         if retries + 1 > allowed:
             return False
         bucket[2] += 1
--- a/src/hibiscushaven/placement/tests/test_shared_limits.py
+++ b/src/hibiscushaven/placement/tests/test_shared_limits.py
@@ -35,6 +35,32 @@
         assert retry_count <= RATIO * request_count + FIXED
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_total_retries_stay_within_the_budget_when_all_vms_restart(seed):
+    """Guards against VMs that start with a whole budget, each as if it were the only one."""
+    rng = random.Random(seed)
+    vms = rng.choice([8, 23, 140])
+    restart_at, discovery_s = 25.0, 1.0
+    budgets = [RetryBudget(WINDOW_S, RATIO, FIXED) for _ in range(vms)]
+    requests, retries = [], []
+    now = 0.0
+    while now < 45.0:
+        previous, now = now, now + rng.expovariate(116.0)
+        if previous < restart_at <= now:
+            budgets = [RetryBudget(WINDOW_S, RATIO, FIXED, restart_at) for _ in range(vms)]
+        budget = rng.choice(budgets)
+        budget.count_request(now)
+        requests.append(now)
+        known_vms = 1 if 0.0 <= now - restart_at < discovery_s else vms
+        if now > 10.0:
+            retries += [now for _ in range(3) if budget.try_spend(now, known_vms)]
+    for end in retries:
+        start = end - WINDOW_S
+        retry_count = sum(start < at <= end for at in retries)
+        request_count = sum(start < at <= end for at in requests)
+        assert retry_count <= RATIO * request_count + FIXED
+
+
 @pytest.mark.parametrize("seed", range(20))
 @pytest.mark.parametrize("per_s", [2.0, 7.6, 9.5])
 def test_all_senders_together_keep_the_rate_limit_of_a_cold_server(seed, per_s):
