Limit the messages of a VM that finds out much at once

Findings within 0.05 s after a message now wait for the next round, at most 0.2 s later. A VM that knows nothing does not look up its peers when one of them starts.

--- a/src/hibiscushaven/gateway/gossip.py
+++ b/src/hibiscushaven/gateway/gossip.py
@@ -15,6 +15,10 @@
 # Rounds in which a VM passes on what is new to it; the node makes a round each 0.2 s.
 ROUNDS = 5
 
+# Shortest interval between a message and the next one outside of the rounds, since a crash of
+# many servers yields hundreds of findings within a second.
+MIN_INTERVAL_S = 0.05
+
 # Interval at which knowledge is repeated to one VM, for those that missed it or started later.
 REPEAT_INTERVAL_S = 1.0
 
@@ -51,7 +55,8 @@
     def share_now(self) -> None:
         """Pass on what this VM has found out, now and in the next rounds."""
         self._rounds_left = ROUNDS
-        self._share(FANOUT)
+        if self._now() - self._sent_at >= MIN_INTERVAL_S:
+            self._share(FANOUT)
 
     def pass_on(self) -> None:
         """Pass on what this VM has learnt from another one in the next rounds."""
@@ -59,11 +64,12 @@
 
     def on_vm_up(self, peers_at: str) -> None:
         """Tell a VM that started or returned; only some of its peers do so."""
+        datagram = self._make_datagram()
+        if datagram is None:
+            return
         peers = len(self._view.live_peers(self._now()))
         if self._random.random() < FANOUT / max(1, peers):
-            datagram = self._make_datagram()
-            if datagram is not None:
-                self._send(datagram, peers_at)
+            self._send(datagram, peers_at)
 
     def step(self) -> None:
         """Make one round."""
