--- a/src/hibiscushaven/platform/tests/test_gateway.py
+++ b/src/hibiscushaven/platform/tests/test_gateway.py
@@ -52,21 +52,40 @@
             *(free_endpoint() for _ in range(5)),
             metrics_at=free_endpoint(),
         )
+        self.store_at = Endpoint("127.0.0.1", store_port)
+        self.daemon = await self.start_gateway(self.options)
+        self.session = aiohttp.ClientSession()
+        return self
+
+    async def start_gateway(self, options):
+        """Return a gateway that is ready."""
         backends = PlatformBackends()
-        self.daemon = GatewayDaemon(
-            self.options,
-            StoreClient(Endpoint("127.0.0.1", store_port)),
+        daemon = GatewayDaemon(
+            options,
+            StoreClient(self.store_at),
             PlatformCallers(),
             backends,
             backends,
             PlatformDirectory(),
             self.clock,
         )
-        await self.daemon.start()
-        self.session = aiohttp.ClientSession()
-        while not self.daemon.node.is_ready:
+        await daemon.start()
+        while not daemon.node.is_ready:
             await asyncio.sleep(0)
-        return self
+        return daemon
+
+    async def start_other_gateway(self):
+        """Return a gateway of another VM of the region."""
+        names = (
+            "callers_at",
+            "readiness_at",
+            "directory_at",
+            "peers_at",
+            "status_at",
+            "metrics_at",
+        )
+        own = {name: free_endpoint() for name in names}
+        return await self.start_gateway(replace(self.options, name="vm-2", **own))
 
     async def __aexit__(self, *error):
         await self.session.close()
@@ -244,3 +263,29 @@
         await deployment.daemon.stop()
 
     run(scenario, response(), clock=NoWallClock())
+
+
+def test_rate_limits_and_crashes_reach_other_vms():
+    """Guards against findings of a VM that are not sent, or not understood, between programs."""
+
+    async def scenario(deployment):
+        other = await deployment.start_other_gateway()
+        nodes = (deployment.daemon.node, other.node)
+        while not all(node.view.live_peers(deployment.clock.now()) for node in nodes):
+            await asyncio.sleep(0)
+        assert (await deployment.request())[0] == 200
+        (server,) = other.node.registry.servers.values()
+        limits = other.node.picker.rate_limits
+        while limits.limit_of(server.record.process_id) is None:
+            await asyncio.sleep(0)
+        assert limits.limit_of(server.record.process_id) == pytest.approx(6.9)
+        now = deployment.clock.now()
+        nodes[0].crashes.record(now - 1.0, "s1", {"x": now - 1.1})
+        nodes[0].crashes.record(now - 0.1, "s2", {"x": now - 0.2})
+        nodes[0].crash_exchange.gossip.share_now()
+        while not nodes[1].crashes.is_quarantined(deployment.clock.now(), "x"):
+            await asyncio.sleep(0)
+        await other.stop()
+        await deployment.daemon.stop()
+
+    run(scenario, response(Server_Limit="6.9"))
