Add random runs of the simulated regions, to be started by hand

Both scenarios, crashing requests and limited servers, with random kinds, rates, limits, unequal callers and lost datagrams: python -m hibiscushaven.gateway.tests.soak. The tests are its short, seeded form.

--- /dev/null
+++ b/src/hibiscushaven/gateway/tests/soak.py
@@ -0,0 +1,102 @@
+"""Random runs of simulated regions, for longer than the tests: requests that crash servers, limits.
+
+Run ``python -m hibiscushaven.gateway.tests.soak --help``; exits with 1 if a run breaks a bound.
+"""
+
+import asyncio
+import logging
+import random
+import sys
+
+import click
+
+from hibiscushaven.routing import RequestKind
+
+from .simulated_backends import SimulatedBackends, SimulatedTraffic
+from .simulated_region import LoopClock, SimulatedRegion
+from .test_crashing_request import (
+    CRASHING_INTERVAL_S,
+    MAX_LATE_ARRIVALS,
+    SIZES,
+    late_arrivals,
+)
+from .test_rate_limits import LIMITED, STABLE_S, allowed, busiest_window
+
+ADOPTION_S = 3.0
+DURATION_S = 15.0
+SERVERS = {"serra-a": 8, "vale-a": 8}
+
+
+def run(rng, seed, kind, scenario, loss_rate):
+    """Run a scenario with unequal callers of all VMs; return its result."""
+
+    async def main(region):
+        region.loss_rate = loss_rate
+        backends = SimulatedBackends(region, SERVERS)
+        traffic = SimulatedTraffic(region, backends, kind, seed)
+        for name, node in region.nodes.items():
+            traffic.add_vm(name, node, rng.choice([0.2, 1.0, 1.0, 5.0, 12.0]))
+        await asyncio.sleep(ADOPTION_S)
+        return await scenario(backends, traffic)
+
+    return SimulatedRegion.run(SIZES, main)
+
+
+def crash(rng, seed):
+    """Return what a request that crashes servers did, and whether it broke the bound."""
+    kind = rng.choice([RequestKind.SAFE, RequestKind.UNSAFE])
+    rate = rng.choice([4.0, 30.0, 100.0])
+    loss_rate = rng.choice([0.0, 0.1, 0.3])
+
+    async def scenario(backends, traffic):
+        await traffic.run(DURATION_S, CRASHING_INTERVAL_S, rate)
+        return backends, traffic
+
+    backends, traffic = run(rng, seed, kind, scenario, loss_rate)
+    refused = [path for path, status in dict(traffic.statuses).items() if status != 200]
+    late = late_arrivals(backends)
+    text = f"{kind.value}, {rate:g} a second, loss {loss_rate}: {len(backends.crashes)} crashes, "
+    text += f"{late} late arrivals, objects refused in the end: {refused}"
+    return text, late > MAX_LATE_ARRIVALS
+
+
+def limit(rng, seed):
+    """Return how often limited servers were asked, and whether that broke the bound."""
+    per_s = rng.choice([0.3, 1.0, 2.0, 4.5, 8.3, 15.0])
+    rate = rng.choice([60.0, 150.0, 300.0])
+    loss_rate = rng.choice([0.0, 0.1, 0.3])
+
+    async def scenario(backends, traffic):
+        await traffic.run(2.0, arrivals_per_s=rate)
+        announced_at = LoopClock().now()
+        backends.limits_per_s = dict.fromkeys(LIMITED, per_s)
+        await traffic.run(DURATION_S, arrivals_per_s=rate)
+        return backends, announced_at
+
+    backends, announced_at = run(rng, seed, RequestKind.SAFE, scenario, loss_rate)
+    windows = [busiest_window(backends, server, announced_at) for server in LIMITED]
+    late = sum(time > announced_at + STABLE_S for time, _, _ in backends.limited_arrivals)
+    used = late / (len(LIMITED) * per_s * (DURATION_S - STABLE_S))
+    text = f"limit {per_s}, {rate:g} a second, loss {loss_rate}: busiest windows {windows} of "
+    text += f"{allowed(per_s):g}, {used:.0%} of the limit used"
+    return text, max(windows) > allowed(per_s)
+
+
+@click.command()
+@click.option("--seeds", default=50, help="Number of runs of each scenario.")
+@click.option("--first", default=1, help="First seed.")
+def main(seeds, first):
+    """Run both scenarios with consecutive seeds."""
+    logging.disable(logging.CRITICAL)
+    failed = 0
+    for scenario in (crash, limit):
+        for seed in range(first, first + seeds):
+            text, is_failure = scenario(random.Random(seed), seed)
+            failed += is_failure
+            click.echo(f"{scenario.__name__} {seed}: {text}{' FAILED' if is_failure else ''}")
+    click.echo(f"{failed} of {2 * seeds} runs failed")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
