Let a leaving entry VM own its shards until its peers know that it leaves

Callers saw a download refused 25 to 45 ms after its entry VM got SIGTERM, with "relayed 3 times already", and succeed at a second attempt one second later.

Cause: the leaving VM counted itself out at its next tick, at which it also announced this. A peer acts on the announcement at its own next tick, up to 0.1 s later. Until then each of the two names the other one as the owner of the shard, and a request is relayed between them until its hops are used up.

Change: the own view shows this VM as leaving 0.5 s after the announcement was sent, in which peers have received it and ticked. Two owners at a time are no risk, since slot tokens decide what may start.

--- a/src/hibiscushaven/membership/node.py
+++ b/src/hibiscushaven/membership/node.py
@@ -25,6 +25,9 @@
 _REPORTS_PER_HEARTBEAT = 1
 _MAX_REPORTS_PER_UPDATE = 16
 _MAX_RELAY_AGE_S = 5.0  # the relays that an older digest names may have changed
+# A leaving VM keeps what it owns until its peers have received the announcement and ticked.
+# Otherwise the VM and its successor would relay requests to each other.
+_HANDOVER_S = 0.5
 
 
 class MembershipNode:
@@ -57,6 +60,7 @@
         self._indirect_cache_key: tuple[frozenset[str], frozenset[str], int] | None = None
         self._indirect_cache: dict[str, Member] = {}
         self._is_leaving = False
+        self._leaving_announced_at: float | None = None
         self._acknowledged_at: float | None = None
         self._now: float | None = None
         self._ticked_at: float | None = None
@@ -92,6 +96,7 @@
         return self._acknowledged_at
 
     def set_leaving(self, now: float) -> None:
+        """Announce that this VM leaves; its own view shows it as leaving a little later."""
         self._is_leaving = True
         self._next_heartbeat = now
 
@@ -171,6 +176,8 @@
         if now >= self._next_heartbeat:
             jitter = self._rng.uniform(1 - _JITTER_FRACTION, 1 + _JITTER_FRACTION)
             self._next_heartbeat = now + HEARTBEAT_INTERVAL_S * jitter
+            if self._is_leaving and self._leaving_announced_at is None:
+                self._leaving_announced_at = now
             yield from self._heartbeats(now)
         if self._pending_reports:
             yield from self._send_reports()
@@ -314,10 +321,14 @@
         if not self._is_full_mesh:
             self._publish_own_report(direct_states)
             members.update(self._indirect_members(direct_states))
-        own_state = MemberState.LEAVING if self._is_leaving else MemberState.UP
+        own_state = MemberState.LEAVING if self._has_handed_over(now) else MemberState.UP
         members[self._own.vm] = Member(self._own.vm, own_state, self._own)
         self._view = View(members, self._entries, self._listed_at)
 
+    def _has_handed_over(self, now: float) -> bool:
+        announced_at = self._leaving_announced_at
+        return announced_at is not None and now - announced_at >= _HANDOVER_S
+
     def _publish_own_report(self, direct_states: dict[str, MemberState]) -> None:
         """Publish the own report if it changed or a former incarnation's report was received."""
         heartbeat_peers = self._heartbeat_peers()
--- a/src/hibiscushaven/slots/tests/test_handover.py
+++ b/src/hibiscushaven/slots/tests/test_handover.py
@@ -34,6 +34,22 @@
     assert world.free_tokens() == (4, world.capacity)
 
 
+def test_two_relays_reach_an_owner_while_one_leaves() -> None:
+    """Guards against requests refused because two VMs name each other as the owner."""
+    world = settled_world()
+    (owner,) = world.owners()
+    owner.membership.set_leaving(owner.now(world))
+    until = world.now + 1.0
+    while world.now < until:
+        world.run(world.now + 0.01)
+        owners = {
+            vm.identity.vm: vm.slots.owner_of(SHARD, vm.membership.view).vm for vm in world.live()
+        }
+        for name in owners.values():
+            assert owners[owners[name]] == owners[name], owners
+    assert owner.identity.vm not in owners.values()
+
+
 def test_tokens_move_after_a_graceful_stop() -> None:
     """Guards against a graceful stop that delays tokens like a crash, or never ends."""
     world = settled_world()
