--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -614,7 +614,7 @@
     def _on_listing(self, listing: ServerListing, gap_s: float) -> None:
         now = self._clock.now()
         if self.registry.replace_all(now, listing.version, listing.records, gap_s):
-            self._on_registry_change("store")
+            self._on_registry_change("store", gap_s=round(gap_s, 3))
 
     def _adopt_operator(self, operator: OperatorState, source: str) -> None:
         previous = self._operator
@@ -645,7 +645,7 @@
         )
         self._send_state()
 
-    def _on_registry_change(self, source: str) -> None:
+    def _on_registry_change(self, source: str, **details: float) -> None:
         if self.registry.version >= self._newest_servers_version:
             self._reader.cancel_servers_read()
         names = frozenset(self.registry.servers)
@@ -663,7 +663,11 @@
                 "leaving": sum(
                     server.record.is_leaving for server in self.registry.servers.values()
                 ),
+                "expiring": sum(
+                    server.expires_at is not None for server in self.registry.servers.values()
+                ),
                 "source": source,
+                **details,
             },
         )
         self._send_state()
