Keep servers without a record only after a gap in which records expire

Cause: a VM that reads the store more than 1.0 s after its last confirmation takes this for an outage of the store, and keeps servers without a record for 2 s, plus up to 0.2 s until the next check. The gap is that of this VM's news, not of the store. A VM with a busy link has equal versions with its peers at no time while servers leave one after the other, so that nothing confirms its data. It is late with a change, requests a read of its own, and keeps what the others have dropped. What it then has is newer than what they have, so that they fetch it from it and use the removed servers again.

Change: a gap counts as an outage from two renewals of the records on, which the settings name. A record expires after three missed renewals, of which the last one before an outage may be one interval old, so that no record expires in less. A record that is missing after a shorter gap was removed.

--- a/src/hibiscushaven/discovery/__init__.py
+++ b/src/hibiscushaven/discovery/__init__.py
@@ -3,7 +3,8 @@
 from .records import ServerRecord
 from .registry import (
     EXPIRY_GRACE_S,
-    OUTAGE_THRESHOLD_S,
+    OUTAGE_RENEWALS,
+    RENEWAL_INTERVAL_S,
     KnownServer,
     Registry,
     RegistryUpdate,
@@ -11,7 +12,8 @@
 
 __all__ = [
     "EXPIRY_GRACE_S",
-    "OUTAGE_THRESHOLD_S",
+    "OUTAGE_RENEWALS",
+    "RENEWAL_INTERVAL_S",
     "KnownServer",
     "Registry",
     "RegistryUpdate",
--- a/src/hibiscushaven/discovery/registry.py
+++ b/src/hibiscushaven/discovery/registry.py
@@ -9,14 +9,24 @@
 from .changes import ChangeLog
 from .records import ServerRecord
 
-__all__ = ["EXPIRY_GRACE_S", "OUTAGE_THRESHOLD_S", "KnownServer", "Registry", "RegistryUpdate"]
+__all__ = [
+    "EXPIRY_GRACE_S",
+    "OUTAGE_RENEWALS",
+    "RENEWAL_INTERVAL_S",
+    "KnownServer",
+    "Registry",
+    "RegistryUpdate",
+]
 
 # Backend servers register again within about 2 s after the store is back.
 EXPIRY_GRACE_S = 2.0
 
-# Time between two reads from which missing records may have expired because the store was
-# unavailable; twice the usual interval between reads.
-OUTAGE_THRESHOLD_S = 1.0
+# Interval at which backend servers renew their records.
+RENEWAL_INTERVAL_S = 1.5
+
+# A record expires after three missed renewals, and the last one before an outage is up to one
+# interval old. No record expires in an outage of less than this many intervals.
+OUTAGE_RENEWALS = 2
 
 _CHECKSUM_MODULUS = 2**64
 
@@ -65,14 +75,17 @@
     than the sender's registry is therefore rejected, and a complete one has to be requested.
 
     A record that is missing after an outage of the store is kept for a grace period, since its
-    server may only have been unable to renew it.
+    server may only have been unable to renew it. A shorter gap between two reads is no outage:
+    this VM may have had no news from its peers, and a record that is missing was removed.
 
+    :param renewal_interval_s: interval at which backend servers renew their records.
     :ivar version: version of the last change that other VMs need; never decreases.
     :ivar revision: counter of all changes, including those of ``cold_until``, which only this
         VM makes; caches of the registry's content are valid while it is unchanged.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, renewal_interval_s: float = RENEWAL_INTERVAL_S) -> None:
+        self._outage_threshold_s = OUTAGE_RENEWALS * renewal_interval_s
         self.version = 0
         self.revision = 0
         self._servers: dict[str, KnownServer] = {}
@@ -100,7 +113,7 @@
         """
         if version < self.version:
             return False
-        if gap_s > OUTAGE_THRESHOLD_S and self._servers:
+        if gap_s > self._outage_threshold_s and self._servers:
             self._grace_ends_at = now + EXPIRY_GRACE_S
         by_id = {record.server_id: record for record in records}
         missing = [server_id for server_id in self._servers if server_id not in by_id]
--- a/src/hibiscushaven/discovery/tests/test_registry.py
+++ b/src/hibiscushaven/discovery/tests/test_registry.py
@@ -49,6 +49,16 @@
     assert set(registry.servers) == {"s2"}
 
 
+@pytest.mark.parametrize("renewal_s", [0.5, 1.5])
+def test_record_missing_after_a_gap_too_short_to_expire_is_dropped_at_once(renewal_s):
+    """Guards against requests to a deregistered server by a VM that had no news for a while."""
+    for gap_s, kept in ((2 * renewal_s, set()), (2 * renewal_s + 0.1, {"s1"})):
+        registry = Registry(renewal_s)
+        registry.replace_all(0.0, 10, [make_record("s1"), make_record("s2")], gap_s=0.5)
+        registry.replace_all(gap_s, 20, [make_record("s2")], gap_s)
+        assert set(registry.servers) == {"s2"} | kept
+
+
 def test_record_missing_after_an_outage_is_kept_for_the_grace_period():
     """Guards against dropping servers that could not renew their records in the outage."""
     registry = make_registry(make_record("s1"), make_record("s2"))
--- a/src/hibiscushaven/discovery/tests/test_registry_model.py
+++ b/src/hibiscushaven/discovery/tests/test_registry_model.py
@@ -4,13 +4,19 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
 
-from hibiscushaven.discovery import EXPIRY_GRACE_S, OUTAGE_THRESHOLD_S, Registry
+from hibiscushaven.discovery import (
+    EXPIRY_GRACE_S,
+    OUTAGE_RENEWALS,
+    RENEWAL_INTERVAL_S,
+    Registry,
+)
 
 from .test_registry import make_record
 
 VMS = st.integers(0, 3)
 IDS = st.sampled_from(["s1", "s2", "s3", "s4"])
 READ_S = 0.5
+OUTAGE_S = OUTAGE_RENEWALS * RENEWAL_INTERVAL_S + 0.5
 
 
 class RegistryExchange(RuleBasedStateMachine):
@@ -45,7 +51,7 @@
         started = 1000 + self.store_version
         self.records[server_id] = make_record(server_id, started_unix_ms=started, cold_left_s=3.0)
 
-    @rule(seconds=st.sampled_from([0.1, READ_S, OUTAGE_THRESHOLD_S + 0.5, EXPIRY_GRACE_S + 0.1]))
+    @rule(seconds=st.sampled_from([0.1, READ_S, OUTAGE_S, EXPIRY_GRACE_S + 0.1]))
     def wait(self, seconds):
         self.now += seconds
         for registry in self.registries:
--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -118,7 +118,7 @@
         self._arrivals = ArrivalRates(drain_arrival_counts)
         self._on_address_removed = on_address_removed
         self._server_addresses: frozenset[Endpoint] = frozenset()
-        self.registry = Registry()
+        self.registry = Registry(options.renewal_interval_s)
         self.loads = ServerLoads()
         self.view = FleetView(
             options.name, options.region, options.failure_domain, options.capacity
--- a/src/hibiscushaven/gateway/options.py
+++ b/src/hibiscushaven/gateway/options.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from hibiscushaven.discovery import RENEWAL_INTERVAL_S
 from hibiscushaven.forwarding import RetryBudgetOptions
 from hibiscushaven.ini.fields import Endpoint
 
@@ -26,6 +27,7 @@
     :ivar seeds: addresses of VMs to contact at the start; some may be down.
     :ivar answer_ttl_s: time for which callers may cache a response of the directory.
     :ivar grace_s: time between SIGTERM and SIGKILL.
+    :ivar renewal_interval_s: interval at which backend servers renew their records in the store.
     :ivar shift_cap: largest fraction of a region's requests that may be shifted to another region
         between two consecutive windows of 2 s.
     :ivar budget: options of the retry budget.
@@ -46,5 +48,6 @@
     link_mbps: float = 1000.0
     answer_ttl_s: float = 2.0
     grace_s: float = 6.0
+    renewal_interval_s: float = RENEWAL_INTERVAL_S
     shift_cap: float = 0.15
     budget: RetryBudgetOptions = field(default_factory=RetryBudgetOptions)
--- a/src/hibiscushaven/gateway/settings.py
+++ b/src/hibiscushaven/gateway/settings.py
@@ -6,6 +6,7 @@
 
 from expression import Error, Ok, Result
 
+from hibiscushaven.discovery import RENEWAL_INTERVAL_S
 from hibiscushaven.forwarding import RetryBudgetOptions
 from hibiscushaven.ini import (
     Field,
@@ -56,6 +57,7 @@
     "bounds": (
         Field("answer_ttl", duration(0.1, 60), 2.0, False),
         Field("grace", duration(0.5, 600), 6.0, False),
+        Field("record_renewal", duration(0.1, 60), RENEWAL_INTERVAL_S, False),
         Field("shift_cap", number(0.001, 1), 0.15, False),
         Field("retry_window", duration(1, 600), 10.0, False),
         Field("retry_ratio", number(0, 10), 0.1, False),
@@ -150,6 +152,7 @@
         link_mbps=vm["link_mbps"],
         answer_ttl_s=bounds["answer_ttl"],
         grace_s=bounds["grace"],
+        renewal_interval_s=bounds["record_renewal"],
         shift_cap=bounds["shift_cap"],
         budget=RetryBudgetOptions(
             bounds["retry_window"], bounds["retry_ratio"], bounds["retry_fixed"]
--- a/src/hibiscushaven/gateway/tests/test_propagation.py
+++ b/src/hibiscushaven/gateway/tests/test_propagation.py
@@ -5,6 +5,7 @@
 import pytest
 
 from .simulated_region import SimulatedRegion
+from .support import make_record
 
 # Time within which a confirmed change must be in force on each VM.
 CHANGE_BOUND_S = 3.0
@@ -18,6 +19,15 @@
 # Time that packets wait at a busy link, in each direction.
 LINK_DELAYS_S = (0.0, 0.1, 0.25)
 
+# Such times with which a pull is slow and a read of the store completes within its time limit.
+READ_DELAYS_S = (0.12, 0.15)
+
+# Interval between the removals of servers, so short that a VM with a busy link is never up to date.
+CHANGE_INTERVAL_S = 0.1
+
+# Number of servers that are removed one after the other.
+RELEASED_SERVERS = 40
+
 
 def has_configuration(node, version):
     return node.operator.configuration.version == version
@@ -58,6 +68,32 @@
     assert SimulatedRegion.run(VMS, scenario) == []
 
 
+@pytest.mark.parametrize("delay_s", LINK_DELAYS_S + READ_DELAYS_S)
+def test_vm_with_a_busy_link_drops_servers_in_time_that_are_removed_one_after_the_other(delay_s):
+    """Guards against a removed server that is kept as if its record had expired in an outage."""
+
+    async def scenario(region):
+        slow = region.readers()[-1]
+        region.delays_s[slow] = delay_s
+        records = [make_record(f"s{number:02}") for number in range(RELEASED_SERVERS)]
+        region.put_servers(records)
+        await asyncio.sleep(2.0)
+        late = set()
+        bound = round(CHANGE_BOUND_S / CHANGE_INTERVAL_S)
+        for number in range(RELEASED_SERVERS + bound):
+            region.put_servers(records[number + 1 :])
+            await asyncio.sleep(CHANGE_INTERVAL_S)
+            for record in records[: max(0, number + 1 - bound)]:
+                late |= {
+                    (record.server_id, name)
+                    for name, node in region.nodes.items()
+                    if not excludes_server(node, record.server_id)
+                }
+        return late
+
+    assert SimulatedRegion.run(VMS, scenario) == set()
+
+
 def test_change_during_an_interrupted_watch_is_found_by_the_next_reader():
     """Guards against a region without operator state when the loss of its reader goes unnoticed."""
 
--- a/src/hibiscushaven/gateway/tests/test_settings.py
+++ b/src/hibiscushaven/gateway/tests/test_settings.py
@@ -22,6 +22,7 @@
 address = 10.200.1.7:8541
 [bounds]
 grace = 6s
+record_renewal = 2500ms
 shift_cap = 0.15
 retry_window = 10s
 retry_ratio = 0.2
@@ -37,6 +38,7 @@
     assert options.seeds == ("10.1.0.34:7540", "10.2.0.34:7540")
     assert options.regions == {"serra-a": "serra", "vale-a": "vale"}
     assert options.budget.fixed_retries == 130 and options.grace_s == 6.0
+    assert options.renewal_interval_s == 2.5
     assert str(settings.store_at) == "10.200.1.7:8541"
 
 
