Confirm servers from a peer by the read that the peer announced

Cause: a VM took its servers for confirmed only when a peer announced the version that it had itself. While servers change faster than its pulls arrive, that is never the case, although each pull brings data that was read at a known time.

Why it is valid: a read that found the announced version unchanged came before the read that found a later one, so that the data of the later one holds at least from the time of the former.

The new test failed before.

--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -159,6 +159,7 @@
         self._newest_operator_version = 0
         self._newer_operator_seen_at = float("-inf")
         self._newest_servers_version = 0
+        self._newest_servers_read_at = float("-inf")
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -317,7 +318,9 @@
         if state.servers_version == self.registry.version:
             self._reader.confirm_servers(now - state.servers_age_s)
         self._newest_operator_version = max(self._newest_operator_version, state.operator_version)
-        self._newest_servers_version = max(self._newest_servers_version, state.servers_version)
+        if state.servers_version > self._newest_servers_version:
+            self._newest_servers_version = state.servers_version
+            self._newest_servers_read_at = now - state.servers_age_s
         is_peer_newer = (
             state.operator_version > self._operator.version
             or state.servers_version > self.registry.version
@@ -368,6 +371,9 @@
         """Apply a peer's update of the backend servers if it is newer and consistent."""
         if self.registry.apply_update(update):
             self._has_diverged = False
+            if update.version >= self._newest_servers_version:
+                # The read that confirmed the announced version came before that of a later one.
+                self._reader.confirm_servers(self._newest_servers_read_at)
             self._on_registry_change(source)
         elif (
             update.version > self.registry.version and update.base_version == self.registry.version
--- a/src/hibiscushaven/gateway/tests/test_node.py
+++ b/src/hibiscushaven/gateway/tests/test_node.py
@@ -5,6 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from hibiscushaven.discovery import KnownServer, RegistryUpdate
 from hibiscushaven.fleet import VmState, token_of
 from hibiscushaven.gateway.node import NEWER_VERSION_LIFETIME_S
 from hibiscushaven.process.tests.support import VirtualClock
@@ -100,6 +101,24 @@
     run_in_loop(scenario)
 
 
+def test_servers_from_a_peer_are_confirmed_by_the_read_that_it_announced():
+    """Guards against data without confirmation while servers change faster than pulls arrive."""
+
+    def scenario():
+        clock = VirtualClock()
+        node = make_node(clock=clock)
+        node._puller.start = lambda peer, address: None
+        node._on_message(make_state(servers_version=20, servers_age_s=0.25))
+        clock.time += 0.5
+        servers = {"s1": KnownServer(make_record())}
+        node._adopt_servers(RegistryUpdate(15, servers), "vm-3")
+        assert node.servers_age_s > 1000
+        node._adopt_servers(RegistryUpdate(21, servers), "vm-2")
+        assert round(node.servers_age_s, 3) == 0.75
+
+    run_in_loop(scenario)
+
+
 def test_vm_is_ready_only_with_configuration_and_servers():
     """Guards against callers that are directed to a VM which cannot serve them."""
 
