Take endpoints of the gateway tests on loopback addresses of their own

A whole run of the tests failed once with "Address already in use": free_endpoint finds a port on 127.0.0.1 and gives it back before the gateway takes it, and another process may take it in between. This was only suspected so far.

An address chosen at random among 16 million loopback addresses is used by no other process, so that its ports are free. The checks are as before.

--- a/src/hibiscushaven/platform/tests/test_gateway.py
+++ b/src/hibiscushaven/platform/tests/test_gateway.py
@@ -1,6 +1,7 @@
 """Whole gateway on loopback, with stand-ins for the store and a backend server."""
 
 import asyncio
+import random
 import socket
 from dataclasses import replace
 
@@ -23,7 +24,9 @@
 
 
 def free_endpoint():
-    with socket.create_server(("127.0.0.1", 0)) as made:
+    """Return an endpoint on a loopback address of its own, whose port no other process takes."""
+    address = ".".join(["127", *(str(random.randint(1, 254)) for _ in range(3))])
+    with socket.create_server((address, 0)) as made:
         return Endpoint(*made.getsockname())
 
 
