Start the demo with SIGINT at its default in its test

A whole run of the tests, started in the background of a script, failed in the test of Ctrl-C: the demo did not stop within 120 s. Its shell, still running then, had SIGINT among its ignored signals (SigIgn 0x180000007 in /proc), since a script starts background processes with SIGINT ignored, and a shell cannot trap a signal that was ignored at its start. A terminal starts the script with SIGINT at its default, which is what the test stands for. The checks are as before.

--- a/tests/processes/test_demo.py
+++ b/tests/processes/test_demo.py
@@ -24,6 +24,8 @@
         stderr=subprocess.STDOUT,
         text=True,
         start_new_session=True,
+        # A shell cannot trap a signal that is ignored at its start.
+        preexec_fn=lambda: signal.signal(signal.SIGINT, signal.SIG_DFL),
         env=os.environ | {"PATH": f"{bin_directory}:{os.environ['PATH']}"},
     )
     lines = []
