--- a/src/hibiscushaven/platform/tests/store_standin.py
+++ b/src/hibiscushaven/platform/tests/store_standin.py
@@ -5,6 +5,7 @@
 import contextlib
 import json
 from collections import deque
+from dataclasses import dataclass
 from enum import StrEnum, auto
 
 from aiohttp import web
@@ -23,16 +24,31 @@
     MALFORMED = auto()
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """Content of the store at one version."""
+
+    rows: dict
+    log: tuple
+    version: int
+
+
 class StoreStandIn:
     """Tables in memory behind the store's HTTP interface.
 
+    The store may be restored from a copy, as after the loss of its newest data: what was written
+    since is gone, and its versions are given out again. All responses name the era, which rises by
+    one.
+
     :ivar log: version, table, key and value of each change, ``None`` for a deletion.
     :ivar faults: faults of the next calls, one each.
     :ivar calls: names of the calls so far.
     :ivar late_writes: writes that are applied later, whose connections were reset.
+    :ivar era: 1, and one more after each restore.
     """
 
     def __init__(self):
+        self.era = 1
         self.rows = {}
         self.log = []
         self.version = 100
@@ -68,12 +84,30 @@
         self.rows.pop((table, key), None)
         self._log_change(table, key, None)
 
+    def copy(self):
+        """Return a copy to restore later."""
+        return StoreCopy(dict(self.rows), tuple(self.log), self.version)
+
+    def restore(self, copy):
+        """Return to a copy, and begin another era."""
+        self.rows, self.log, self.version = dict(copy.rows), list(copy.log), copy.version
+        self.era += 1
+        self._wake_feeds()
+
     def _log_change(self, table, key, raw):
         self.log.append((self.version, table, key, raw))
+        self._wake_feeds()
+
+    def _wake_feeds(self):
         self._changed.set()
         self._changed = asyncio.Event()
 
     async def _handle(self, request):
+        response = await self._respond_to(request)
+        response.headers["Store-Era"] = str(self.era)
+        return response
+
+    async def _respond_to(self, request):
         call = request.match_info["call"]
         self.calls.append(call)
         fault = self.faults.popleft() if self.faults else None
@@ -127,6 +161,8 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + int(request.query["WaitMs"]) / 1000
         while True:
+            if after > self.version:
+                return web.json_response({}, status=410)
             changes = {}
             for version, name, key, raw in self.log:
                 if name == table and version > after:
