Tell a starting VM what others know by a fixed number of peers

Each peer told a VM that came up by chance, with a probability of four in the number of VMs, and repeated its findings to one random VM a second. With twenty peers nobody tells a new VM for three seconds in about one of a thousand starts; it then lets a request through that crashes servers. Seen in test_vm_that_starts_later_refuses_a_crashing_request with another order of requests: none of 55 repeated messages in 3 s went to the new VM, and none of the 20 peers told it.

The tellers are now chosen by a hash of both names, so that about four of them tell each VM. test_vm_that_starts_is_told_by_a_few_vms fails before: the numbers of tellers of 20 VMs vary there.

--- a/src/hibiscushaven/gateway/gossip.py
+++ b/src/hibiscushaven/gateway/gossip.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Callable
 
-from hibiscushaven.fleet import FleetView
+from hibiscushaven.fleet import FleetView, token_of
 from hibiscushaven.process import Clock
 
 __all__ = ["Gossip"]
@@ -62,13 +62,14 @@
         """Pass on what this VM has learnt from another one in the next rounds."""
         self._rounds_left = ROUNDS
 
-    def on_vm_up(self, peers_at: str) -> None:
-        """Tell a VM that started or returned; only some of its peers do so."""
+    def on_vm_up(self, name: str, peers_at: str) -> None:
+        """Tell a VM that started or returned; ``FANOUT`` of its peers do so, chosen by hash."""
         datagram = self._make_datagram()
         if datagram is None:
             return
-        peers = len(self._view.live_peers(self._now()))
-        if self._random.random() < FANOUT / max(1, peers):
+        peers = (state.name for state in self._view.live_peers(self._now()) if state.name != name)
+        own = token_of(f"{name}/{self._view.name}")
+        if sum(token_of(f"{name}/{peer}") < own for peer in peers) < FANOUT:
             self._send(datagram, peers_at)
 
     def step(self) -> None:
--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -335,7 +335,7 @@
             _LOG.info("VM is up", extra={"peer": message.name, "region": message.region})
             self._transport.send(encode(self._state()), message.peers_at)
             for gossip in self._gossips():
-                gossip.on_vm_up(message.peers_at)
+                gossip.on_vm_up(message.name, message.peers_at)
         self._lost_servers.report(now, message.lost_server_ages_s)
         if message.region == self._options.region:
             self._compare_versions(now, message.name, message)
--- a/src/hibiscushaven/gateway/tests/test_gossip.py
+++ b/src/hibiscushaven/gateway/tests/test_gossip.py
@@ -22,10 +22,10 @@
 class Peers:
     """View of one VM with a number of live peers."""
 
-    name = "vm-0"
-
-    def __init__(self, count):
-        self._states = [make_node(f"vm-{number + 1}")._state() for number in range(count)]
+    def __init__(self, count, name="vm-0"):
+        self.name = name
+        names = [f"vm-{number}" for number in range(count + 1)]
+        self._states = [make_node(other)._state() for other in names if other != name]
 
     def live_peers(self, now):
         return self._states
@@ -34,10 +34,10 @@
 class Fixture:
     """Gossip of one VM, with the addresses to which it has sent."""
 
-    def __init__(self, count):
+    def __init__(self, count, name="vm-0"):
         self.clock, self.sent, self.datagram = VirtualClock(), [], b"finding"
         self.gossip = Gossip(
-            Peers(count),
+            Peers(count, name),
             self.clock,
             lambda: self.datagram,
             lambda data, peer: self.sent.append(data),
@@ -73,11 +73,20 @@
     """Guards against traffic on days on which nothing happens."""
     fixture = Fixture(10)
     fixture.datagram = None
-    fixture.gossip.on_vm_up("10.0.0.1:1")
+    fixture.gossip.on_vm_up("vm-1", "10.0.0.1:1")
     fixture.step(100)
     assert fixture.sent == []
 
 
+@pytest.mark.parametrize("number", range(20))
+def test_vm_that_starts_is_told_by_a_few_vms(number):
+    """Guards against a VM that by chance nobody tells which requests crash servers."""
+    fixtures = [Fixture(19, f"vm-{other}") for other in range(20) if other != number]
+    for fixture in fixtures:
+        fixture.gossip.on_vm_up(f"vm-{number}", "10.0.0.1:1")
+    assert sum(len(fixture.sent) for fixture in fixtures) == FANOUT
+
+
 @pytest.mark.parametrize("report", REPORTS)
 def test_report_is_unchanged_by_encoding_and_decoding(report):
     """Guards against findings that another VM understands differently."""
