Ask less often a server that follows each pause with another one

A server that rejects all requests and asks for a short pause each time cost one request at the end of each pause. A request with two attempts failed when both went to such servers, and each rejection also raised the failure rate, as if the answers had been wrong.

What is left: requests without affinity fill the servers in the order of the listing, so that after the first server of the list the next one with a pause comes.

--- a/src/hibiscushaven/forwarding/forwarder.py
+++ b/src/hibiscushaven/forwarding/forwarder.py
@@ -316,6 +316,7 @@
             frozenset(context.excluded),
             # Retries by this VM are admitted like those of callers, since they have lost time too.
             context.is_caller_retry or context.sent_attempts > 0,
+            context.attempts_left <= 1,
         )
 
     def _try_spend_retry(self, now: float, context: RequestContext) -> bool:
@@ -411,7 +412,9 @@
         elif kind is FailureKind.DEADLINE:
             self._on_timeout(now, context, load)
         elif kind is FailureKind.REFUSED:
-            load.on_response(now, None, is_failure=True, report=None)
+            # A server that asks for a pause is excluded for that time, and is no worse after it.
+            is_failure = not self._asks_for_pause(error)
+            load.on_response(now, None, is_failure=is_failure, report=None)
             self._picker.record_response(now, server_id)
         elif kind in (FailureKind.MALFORMED, FailureKind.WRONG_ATTEMPT_ID):
             load.on_response(now, None, is_failure=True, report=None)
@@ -457,6 +460,8 @@
             self._count_cache_lookup(now, context, placement, response_time_s, report)
         load.on_response(now, relative_duration, is_failure, report)
         self._picker.record_response(now, placement.server.record.server_id)
+        if not is_failure:
+            self._picker.notices.record_served(placement.server.record.process_id)
         if head.status in NOT_RUN_STATUSES:
             # Callers take these statuses as a guarantee that the request has not run. The backend
             # server gave no such guarantee.
@@ -498,6 +503,11 @@
             self._reporter.server_excluded(process_id, notice)
         return notice
 
+    def _asks_for_pause(self, error: AttemptError) -> bool:
+        if error.headers is None:
+            return False
+        return self._notice_reader.read_notice(error.status, error.headers).pause_s is not None
+
     def _on_timeout(self, now: float, context: RequestContext, load: ServerLoad) -> None:
         """Lower the estimated speed of the server if the attempt exceeded its predicted time."""
         placement = context.placement
--- a/src/hibiscushaven/placement/picker.py
+++ b/src/hibiscushaven/placement/picker.py
@@ -68,6 +68,10 @@
 # or the link of that VM is down, in processing times. It decides only while other servers are free.
 SUSPICION_PENALTY = 4.0
 
+# Cost of a server that has served nothing since its last pause, in processing times, for requests
+# that no other server could get after it.
+RELUCTANCE_PENALTY = 4.0
+
 
 @dataclass(frozen=True, slots=True)
 class PickerOptions:
@@ -467,6 +471,8 @@
             penalty = RANK_PENALTY * rank + FAILURE_PENALTY * load.failure_rate
             if self._is_suspected_lost(self._token(server_id)):
                 penalty += SUSPICION_PENALTY
+            if request.is_last_attempt and self.notices.is_reluctant(server.record.process_id):
+                penalty += RELUCTANCE_PENALTY
             cost = processing_s * (1.0 + penalty) + wait_s
             if best is None or cost < best_cost:
                 best_cost = cost
--- a/src/hibiscushaven/placement/tests/test_picker.py
+++ b/src/hibiscushaven/placement/tests/test_picker.py
@@ -13,6 +13,7 @@
     PlacementRequest,
     RateLimit,
     ServerLoads,
+    ServerNotice,
     cache_hit_counter,
     cache_lookup_counter,
 )
@@ -79,6 +80,17 @@
         assert len(chosen) == 1
 
 
+def test_last_attempt_avoids_a_server_that_only_paused_so_far():
+    """Guards against requests whose last attempt ends at a server that rejects all."""
+    fixture = PickerFixture(*serra_records(4))
+    first = fixture.pick().server.record
+    fixture.picker.notices.record(0.0, first.process_id, ServerNotice(pause_s=0.2))
+    assert fixture.pick(now=0.3).server.record == first
+    assert fixture.pick(now=0.3, is_last_attempt=True).server.record != first
+    fixture.picker.notices.record_served(first.process_id)
+    assert fixture.pick(now=0.3, is_last_attempt=True).server.record == first
+
+
 def test_second_server_is_chosen_when_the_first_is_full():
     """Guards against requests that wait for the first server while the second one has slots."""
     fixture = PickerFixture(*serra_records(4))
