Spread requests without an object, and leave servers alone that only paused

A server that has served nothing since its pause is now left alone for the 10 s of that budget while others are free, by all requests and not only by last attempts.

test_paused_server_gets_requests_again_after_the_pause expected the next request at the paused server, which was due to its place in the list. It now expects one within eight requests after the pause and the 10 s. For that, the failure rate of a server decays while it gets no requests; else a single failure kept it idle for good while others were free.

--- a/src/hibiscushaven/forwarding/forwarder.py
+++ b/src/hibiscushaven/forwarding/forwarder.py
@@ -316,7 +316,6 @@
             frozenset(context.excluded),
             # Retries by this VM are admitted like those of callers, since they have lost time too.
             context.is_caller_retry or context.sent_attempts > 0,
-            context.attempts_left <= 1,
         )
 
     def _try_spend_retry(self, now: float, context: RequestContext) -> bool:
--- a/src/hibiscushaven/forwarding/tests/test_notices.py
+++ b/src/hibiscushaven/forwarding/tests/test_notices.py
@@ -7,6 +7,7 @@
 
 from hibiscushaven.delivery import AttemptError, FailureKind, find_header
 from hibiscushaven.placement import ServerNotice
+from hibiscushaven.placement.notices import RELUCTANCE_S
 
 from .support import FixedLinks, Head, make_forwarder, make_request
 
@@ -67,9 +68,10 @@
     for _ in range(8):
         served.request()
     assert first not in served.servers[1:]
-    served.clock.time += 2.2
-    served.request()
-    assert served.servers[-1] == first
+    served.clock.time += 2.5 + RELUCTANCE_S
+    for _ in range(8):
+        served.request()
+    assert first in served.servers[9:]
 
 
 def test_request_is_refused_at_once_while_all_servers_pause():
--- a/src/hibiscushaven/placement/admission.py
+++ b/src/hibiscushaven/placement/admission.py
@@ -26,7 +26,6 @@
     :ivar time_left_s: time left until its deadline.
     :ivar excluded: backend servers that must not receive it, since it was already sent to them.
     :ivar is_caller_retry: whether its caller retries after a refusal.
-    :ivar is_last_attempt: whether it cannot be sent to another server if this one rejects it.
     """
 
     route: Route
@@ -36,7 +35,6 @@
     time_left_s: float
     excluded: frozenset[str] = frozenset()
     is_caller_retry: bool = False
-    is_last_attempt: bool = False
 
 
 def is_admissible(
--- a/src/hibiscushaven/placement/loads.py
+++ b/src/hibiscushaven/placement/loads.py
@@ -40,6 +40,9 @@
 # deprioritized server is tried again after some seconds.
 SLOWNESS_HALF_LIFE_S = 3.0
 
+# Half-life of the failure rate while a server sends no responses, for the same reason.
+FAILURE_HALF_LIFE_S = 3.0
+
 # Age up to which a report is passed on to other VMs, in each of several state messages.
 REPORT_SHARING_MAX_AGE_S = 0.1
 
@@ -120,6 +123,11 @@
         age_s = max(0.0, now - self.measured_at)
         return 1.0 + (self.relative_duration - 1.0) * 0.5 ** (age_s / SLOWNESS_HALF_LIFE_S)
 
+    def recent_failure_rate(self, now: float) -> float:
+        """Return the EWMA of the failures, decayed since the last response."""
+        age_s = max(0.0, now - self.last_response_at)
+        return self.failure_rate * 0.5 ** (age_s / FAILURE_HALF_LIFE_S)
+
     def is_unavailable(self, now: float, processing_s: float) -> bool:
         """Return whether the server should receive no requests for now."""
         return now < self.backoff_until or self.is_unresponsive(now, processing_s)
--- a/src/hibiscushaven/placement/notices.py
+++ b/src/hibiscushaven/placement/notices.py
@@ -21,6 +21,10 @@
 # long as the longest backoff after failures: a request that finds the server ready again ends it.
 MAX_GROWN_PAUSE_S = 2.0
 
+# Time after a pause in which a server still counts as reluctant: the usual window of the retry budget,
+# of which each request that it rejects uses up a part.
+RELUCTANCE_S = 10.0
+
 
 @dataclass(frozen=True, slots=True)
 class ServerNotice:
@@ -50,7 +54,8 @@
 
     A server that asks for another pause when one has ended would cost one request at the end of
     each, which may have no attempt left for another server. The pauses of such a server double up
-    to ``MAX_GROWN_PAUSE_S``, and it counts as reluctant until it has served a request.
+    to ``MAX_GROWN_PAUSE_S``, and it counts as reluctant until it has served a request or has been
+    left alone for ``RELUCTANCE_S``.
 
     Examples
     ========
@@ -101,9 +106,11 @@
         """Record that a server has served a request of this VM."""
         self._pauses_in_a_row.pop(process_id, None)
 
-    def is_reluctant(self, process_id: str) -> bool:
-        """Return whether a server has served nothing since it last asked for a pause."""
-        return process_id in self._pauses_in_a_row
+    def is_reluctant(self, now: float, process_id: str) -> bool:
+        """Return whether a server has lately asked for a pause and served nothing since."""
+        if process_id not in self._pauses_in_a_row:
+            return False
+        return now < self._paused_until.get(process_id, 0.0) + RELUCTANCE_S
 
     def is_excluded(self, now: float, process_id: str) -> bool:
         """Return whether a server must get no requests of this VM now."""
--- a/src/hibiscushaven/placement/picker.py
+++ b/src/hibiscushaven/placement/picker.py
@@ -1,5 +1,6 @@
 """Selection of the backend server for a request."""
 
+import random
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
@@ -40,6 +41,10 @@
 # only decides between servers that are otherwise about equal.
 RANK_PENALTY = 0.25
 
+# Cost of a server whose slots are all in use for requests without an object, as a fraction of the
+# processing time. It spreads them over the servers that are otherwise about equal.
+UTILIZATION_PENALTY = 0.25
+
 # Slowness of a server that has just started: processing takes about twice as long.
 COLD_SLOWNESS = 2.0
 
@@ -68,8 +73,8 @@
 # or the link of that VM is down, in processing times. It decides only while other servers are free.
 SUSPICION_PENALTY = 4.0
 
-# Cost of a server that has served nothing since its last pause, in processing times, for requests
-# that no other server could get after it.
+# Cost of a server that has served nothing since its last pause, in processing times. It decides only
+# while other servers are free.
 RELUCTANCE_PENALTY = 4.0
 
 
@@ -178,6 +183,7 @@
         self._operator = OperatorState()
         self._groups = ServerGroups(registry, options.regions)
         self._tokens: dict[str, int] = {}
+        self._random = random.Random(options.name)
 
     def set_options(self, options: PickerOptions) -> None:
         """Apply changed options of the deployment."""
@@ -431,7 +437,8 @@
         state: _ServiceState,
     ) -> Placement | PlacementRejection:
         by_id = {server.record.server_id: server for server in servers}
-        if request.key is None or not request.route.is_sticky:
+        has_affinity = request.key is not None and request.route.is_sticky
+        if request.key is None or not has_affinity:
             order, replicas = tuple(by_id), len(by_id)
         else:
             order = self._order.servers_for(request.key, tuple(by_id))
@@ -468,10 +475,16 @@
             shortest_wait_s = min(shortest_wait_s, wait_s)
             if not is_admissible(in_progress, server.record.slots, processing_s + wait_s, request):
                 continue
-            penalty = RANK_PENALTY * rank + FAILURE_PENALTY * load.failure_rate
+            penalty = FAILURE_PENALTY * load.recent_failure_rate(now)
+            if has_affinity:
+                penalty += RANK_PENALTY * rank
+            else:
+                # At random among equal ones, so that the VMs don't all fill the same servers first.
+                used_slots = in_progress + self._random.random()
+                penalty += UTILIZATION_PENALTY * used_slots / max(1, server.record.slots)
             if self._is_suspected_lost(self._token(server_id)):
                 penalty += SUSPICION_PENALTY
-            if request.is_last_attempt and self.notices.is_reluctant(server.record.process_id):
+            if self.notices.is_reluctant(now, server.record.process_id):
                 penalty += RELUCTANCE_PENALTY
             cost = processing_s * (1.0 + penalty) + wait_s
             if best is None or cost < best_cost:
--- a/src/hibiscushaven/placement/tests/test_notices.py
+++ b/src/hibiscushaven/placement/tests/test_notices.py
@@ -3,7 +3,7 @@
 import pytest
 
 from hibiscushaven.placement import ServerNotice, ServerNotices
-from hibiscushaven.placement.notices import MAX_GROWN_PAUSE_S, MAX_PAUSE_S
+from hibiscushaven.placement.notices import MAX_GROWN_PAUSE_S, MAX_PAUSE_S, RELUCTANCE_S
 
 LEAVING = ServerNotice(is_leaving=True)
 PLAIN = ServerNotice()
@@ -61,11 +61,12 @@
     for _ in range(6):
         table.record(now, "s/1", pause(0.2))
         lengths.append(table.pause_left_s(now, "s/1"))
-        assert table.is_reluctant("s/1")
         now += lengths[-1]
     assert lengths == pytest.approx([0.2, 0.4, 0.8, 1.6, MAX_GROWN_PAUSE_S, MAX_GROWN_PAUSE_S])
+    assert table.is_reluctant(now, "s/1")
+    assert not table.is_reluctant(now + RELUCTANCE_S, "s/1")
     table.record_served("s/1")
-    assert not table.is_reluctant("s/1")
+    assert not table.is_reluctant(now, "s/1")
     table.record(now, "s/1", pause(0.2))
     assert table.pause_left_s(now, "s/1") == pytest.approx(0.2)
 
--- a/src/hibiscushaven/placement/tests/test_picker.py
+++ b/src/hibiscushaven/placement/tests/test_picker.py
@@ -17,6 +17,7 @@
     cache_hit_counter,
     cache_lookup_counter,
 )
+from hibiscushaven.placement.notices import RELUCTANCE_S
 from hibiscushaven.routing import (
     Configuration,
     OperatorState,
@@ -80,15 +81,24 @@
         assert len(chosen) == 1
 
 
-def test_last_attempt_avoids_a_server_that_only_paused_so_far():
-    """Guards against requests whose last attempt ends at a server that rejects all."""
+def test_server_that_only_paused_so_far_is_left_alone_for_a_while():
+    """Guards against requests whose attempts all go to servers that reject everything."""
     fixture = PickerFixture(*serra_records(4))
     first = fixture.pick().server.record
     fixture.picker.notices.record(0.0, first.process_id, ServerNotice(pause_s=0.2))
-    assert fixture.pick(now=0.3).server.record == first
-    assert fixture.pick(now=0.3, is_last_attempt=True).server.record != first
+    assert fixture.pick(now=0.3).server.record != first
+    assert fixture.pick(now=0.3 + RELUCTANCE_S).server.record == first
     fixture.picker.notices.record_served(first.process_id)
-    assert fixture.pick(now=0.3, is_last_attempt=True).server.record == first
+    assert fixture.pick(now=0.3).server.record == first
+
+
+def test_requests_without_an_object_spread_over_idle_servers():
+    """Guards against VMs that all fill the servers in the order of the listing."""
+    fixture = PickerFixture(*serra_records(8))
+    chosen = [fixture.pick(key=None).server.record.server_id for _ in range(80)]
+    assert all(chosen.count(f"s{number}") > 0 for number in range(8))
+    fixture.start("s3", 2)
+    assert all(fixture.pick(key=None).server.record.server_id != "s3" for _ in range(80))
 
 
 def test_second_server_is_chosen_when_the_first_is_full():
