Compare the own capacity as the other VMs read it

Messages carry numbers in single precision, and the election of a region's aggregator compared the rounded capacities of the others with the own one in double precision. Of 11 VMs with 0.602 or 0.301 cores all elected themselves, and each sent the digest of its region five times a second to all other regions; with 0.717 or 0.1 cores none did, so that no digest was sent at all. The own capacity is now rounded before all comparisons.

test_vms_of_equal_capacity_elect_one_aggregator fails before for all five capacities. Looked for the same cause elsewhere: rate limits are compared with a resolution of 1%, times with 0.25 s or more, and the order of recipients of digests uses received numbers only.

--- a/src/hibiscushaven/fleet/messages.py
+++ b/src/hibiscushaven/fleet/messages.py
@@ -1,5 +1,6 @@
 """Datagrams that VMs exchange: states of single VMs, and digests of whole regions."""
 
+import struct
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field, fields
 from typing import Any
@@ -15,6 +16,7 @@
     "RateLimitReport",
     "RegionDigest",
     "VmState",
+    "as_sent",
     "decode",
     "encode",
     "token_of",
@@ -22,11 +24,30 @@
 
 _FORMAT_VERSION = 2
 
+_SINGLE = struct.Struct("<f")
+
 
 class MessageError(Exception):
     """Bytes that are not a valid message of this format."""
 
 
+def as_sent(number: float) -> float:
+    """Return a number as the receiver of a message reads it, in single precision.
+
+    A VM that compares an own number with those of others must use this one: else it takes itself
+    for greater than others with the same number.
+
+    Examples
+    ========
+
+    >>> as_sent(0.602) == 0.602, as_sent(as_sent(0.602)) == as_sent(0.602)
+    (False, True)
+
+    """
+    (value,) = _SINGLE.unpack(_SINGLE.pack(number))
+    return value
+
+
 def token_of(text: str) -> int:
     """Return the 32-bit hash that stands for an id in messages."""
     return xxhash.xxh32_intdigest(text.encode())
--- a/src/hibiscushaven/fleet/tests/test_fleet.py
+++ b/src/hibiscushaven/fleet/tests/test_fleet.py
@@ -140,6 +140,19 @@
     assert view.reader_rank(0.1, can_read=False) == 3
 
 
+@pytest.mark.parametrize("capacity", [0.602, 0.301, 0.717, 0.1, 2.15])
+def test_vms_of_equal_capacity_elect_one_aggregator(capacity):
+    """Guards against VMs that all elect themselves, or none, since messages round numbers."""
+    names = [f"vm-{number}" for number in range(11)]
+    views = [FleetView(name, "serra", "serra-a", capacity) for name in names]
+    for name in names:
+        state = decode(encode(make_state(name, capacity=capacity)))
+        for view in views:
+            view.on_state(0.0, state)
+    assert {view.aggregator(0.0).name for view in views} == {min(names, key=token_of)}
+    assert sum(view.is_aggregator(0.0) for view in views) == 1
+
+
 def test_all_vms_agree_on_the_vms_responsible_for_a_key():
     """Guards against more VMs than allowed that send to a cold server."""
     names = [f"vm-{number}" for number in range(7)]
--- a/src/hibiscushaven/fleet/view.py
+++ b/src/hibiscushaven/fleet/view.py
@@ -5,7 +5,7 @@
 
 from .aggregate import RegionAggregate
 from .isolation import IsolationTable
-from .messages import RegionDigest, VmState, token_of
+from .messages import RegionDigest, VmState, as_sent, token_of
 from .uptime import UptimeProofs
 
 __all__ = ["LOCAL_TIMEOUT_S", "MAX_MESH_PEERS", "REMOTE_TIMEOUT_S", "FleetView"]
@@ -100,7 +100,7 @@
         self.name = name
         self.region = region
         self.failure_domain = failure_domain
-        self.capacity = capacity
+        self.capacity = as_sent(capacity)
         self.is_leaving = False
         self.aggregate = RegionAggregate(name)
         self.uptime = UptimeProofs()
--- a/src/hibiscushaven/placement/notices.py
+++ b/src/hibiscushaven/placement/notices.py
@@ -21,8 +21,8 @@
 # long as the longest backoff after failures: a request that finds the server ready again ends it.
 MAX_GROWN_PAUSE_S = 2.0
 
-# Time after a pause in which a server still counts as reluctant: the usual window of the retry budget,
-# of which each request that it rejects uses up a part.
+# Time after a pause in which a server still counts as reluctant: the usual window of the retry
+# budget, of which each request that it rejects uses up a part.
 RELUCTANCE_S = 10.0
 
 
--- a/src/hibiscushaven/placement/picker.py
+++ b/src/hibiscushaven/placement/picker.py
@@ -73,8 +73,8 @@
 # or the link of that VM is down, in processing times. It decides only while other servers are free.
 SUSPICION_PENALTY = 4.0
 
-# Cost of a server that has served nothing since its last pause, in processing times. It decides only
-# while other servers are free.
+# Cost of a server that has served nothing since its last pause, in processing times. It decides
+# only while other servers are free.
 RELUCTANCE_PENALTY = 4.0
 
 
