Send states and digests to another failure domain through one of its VMs

In a region, each VM sent each change of its load to every other VM, so that a state crossed the border between two failure domains once for each VM on the other side: in a region of 7 and 4 VMs each of them sends 4 or 7 copies. Of the bytes between failure domains that is most.

A datagram for all VMs of a region now goes to one VM of each other failure domain, a different one each time, which forwards it. The state that is sent to all VMs once a second still goes to each of them directly, so that silence is judged as before. VMs say that they forward in a message of a new type; older builds drop it, and are sent to as before.

test_domain_broadcasts.py covers the turns, a forwarder that failed, older builds, restarts and datagrams that must not be forwarded.

--- a/src/hibiscushaven/fleet/__init__.py
+++ b/src/hibiscushaven/fleet/__init__.py
@@ -5,6 +5,8 @@
 from .isolation import IsolationTable, LinkStatement
 from .messages import (
     CrashReport,
+    DomainBroadcast,
+    FeatureReport,
     LinkReport,
     Message,
     MessageError,
@@ -21,6 +23,8 @@
 __all__ = [
     "MIN_RESTART_S",
     "CrashReport",
+    "DomainBroadcast",
+    "FeatureReport",
     "FleetTransport",
     "FleetView",
     "IsolationTable",
--- a/src/hibiscushaven/fleet/messages.py
+++ b/src/hibiscushaven/fleet/messages.py
@@ -10,6 +10,8 @@
 
 __all__ = [
     "CrashReport",
+    "DomainBroadcast",
+    "FeatureReport",
     "LinkReport",
     "Message",
     "MessageError",
@@ -178,10 +180,49 @@
     linked_ages_s: Mapping[str, float] = field(default_factory=dict)
 
 
-Message = VmState | RegionDigest | CrashReport | RateLimitReport | LinkReport
+@dataclass(frozen=True, slots=True)
+class FeatureReport:
+    """What a VM can do that those of older builds cannot.
+
+    :ivar incarnation: as in ``VmState``.
+    :ivar forwards_broadcasts: whether it forwards a ``DomainBroadcast``.
+    """
+
+    name: str
+    incarnation: int
+    forwards_broadcasts: bool
+
+
+@dataclass(frozen=True, slots=True)
+class DomainBroadcast:
+    """A datagram for all VMs of the receiver's failure domain, which the receiver forwards.
+
+    :ivar datagram: an encoded ``VmState`` or ``RegionDigest``.
+    """
+
+    datagram: bytes
+
+
+Message = (
+    VmState
+    | RegionDigest
+    | CrashReport
+    | RateLimitReport
+    | LinkReport
+    | FeatureReport
+    | DomainBroadcast
+)
 
 # The index of a type identifies it in datagrams.
-_TYPES: tuple[type, ...] = (VmState, RegionDigest, CrashReport, RateLimitReport, LinkReport)
+_TYPES: tuple[type, ...] = (
+    VmState,
+    RegionDigest,
+    CrashReport,
+    RateLimitReport,
+    LinkReport,
+    FeatureReport,
+    DomainBroadcast,
+)
 
 
 def encode(message: Message) -> bytes:
@@ -273,4 +314,5 @@
     "int": (int,),
     "bool": (bool,),
     "float": (int, float),
+    "bytes": (bytes,),
 }
--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -10,6 +10,8 @@
 from hibiscushaven.discovery import KnownServer, Registry, RegistryUpdate, server_id_of
 from hibiscushaven.fleet import (
     CrashReport,
+    DomainBroadcast,
+    FeatureReport,
     FleetTransport,
     FleetView,
     LinkReport,
@@ -32,6 +34,7 @@
 
 from .arrivals import ArrivalRates
 from .crash_exchange import CrashExchange
+from .domain_broadcasts import DomainBroadcasts
 from .gossip import Gossip
 from .isolation_exchange import IsolationExchange
 from .link_monitor import LinkMonitor
@@ -178,6 +181,9 @@
         self._census = VmCensus(options.name)
         self._operator = OperatorState()
         self._incarnation = random.getrandbits(31)
+        self._broadcasts = DomainBroadcasts(
+            self.view, self._incarnation, clock, self._on_message, self._send_datagram
+        )
         self._sequence = 0
         self._digest_sequence = 0
         self._digest_bytes = 0
@@ -325,6 +331,12 @@
         if isinstance(message, LinkReport):
             self.isolation_exchange.on_report(message)
             return
+        if isinstance(message, DomainBroadcast):
+            self._broadcasts.on_broadcast(message)
+            return
+        if isinstance(message, FeatureReport):
+            self._broadcasts.on_features(message)
+            return
         if isinstance(message, RegionDigest):
             self._on_digest(now, message)
             return
@@ -334,6 +346,7 @@
         if self.view.on_state(now, message):
             _LOG.info("VM is up", extra={"peer": message.name, "region": message.region})
             self._transport.send(encode(self._state()), message.peers_at)
+            self._broadcasts.on_vm_up(message)
             for gossip in self._gossips():
                 gossip.on_vm_up(message.name, message.peers_at)
         self._lost_servers.report(now, message.lost_server_ages_s)
@@ -351,7 +364,7 @@
             self._lost_servers.report(now, digest.lost_server_ages_s)
             self._compare_versions(now, digest.sender, digest)
         elif self.view.is_aggregating(now):
-            self._send_to_local_peers(encode(digest))
+            self._broadcasts.send_to_region(encode(digest), self.view.known_local_peers())
 
     def _compare_versions(self, now: float, name: str, state: VmState | RegionDigest) -> None:
         """Use a peer's versions to confirm the data held here, or fetch newer data from it."""
@@ -556,7 +569,11 @@
             self._sent_to_all_at = now
         if not recipients:
             return
-        self._send(encode(self._state()), recipients)
+        datagram = encode(self._state())
+        if not to_all and len(recipients) == self.view.local_peer_count:
+            self._broadcasts.send_to_region(datagram, recipients)
+        else:
+            self._send(datagram, recipients)
 
     def _gossips(self) -> tuple[Gossip, ...]:
         return (
@@ -627,7 +644,7 @@
         if self.view.is_aggregating(now):
             datagram = encode(self._local_digest(now))
             self._digest_bytes = len(datagram)
-            self._send_to_local_peers(datagram)
+            self._broadcasts.send_to_region(datagram, self.view.known_local_peers())
 
     def _digest_interval_s(self) -> float:
         vms, link_mbps = self.view.local_peer_count, self._options.link_mbps
@@ -652,6 +669,7 @@
         self.crash_exchange.gossip.step()
         self.rate_limit_exchange.gossip.step()
         self.isolation_exchange.step()
+        self._broadcasts.step()
         self.crashes.discard_disproved()
         self._presume_lost_servers_cold(now)
         self._arrivals.update(now)
--- /dev/null
+++ b/src/hibiscushaven/gateway/tests/test_domain_broadcasts.py
@@ -0,0 +1,163 @@
+"""Datagrams that reach the VMs of another failure domain through one of them."""
+
+import pytest
+
+from hibiscushaven.fleet import (
+    CrashReport,
+    DomainBroadcast,
+    FeatureReport,
+    FleetView,
+    MessageError,
+    VmState,
+)
+from hibiscushaven.fleet.messages import decode, encode
+from hibiscushaven.gateway.domain_broadcasts import FEATURE_INTERVAL_S, DomainBroadcasts
+from hibiscushaven.process.tests.support import VirtualClock
+
+DOMAINS = {"serra-a": 7, "serra-b": 4}
+
+
+class Vm:
+    """One VM with its broadcasts; a silent one is down."""
+
+    def __init__(self, network, number, domain):
+        self.network, self.domain, self.received = network, domain, []
+        self.name = f"{domain}-{number}"
+        self.view = FleetView(self.name, "serra", domain)
+        self.is_silent = False
+        self.broadcasts = DomainBroadcasts(
+            self.view, 1, network.clock, self._on_message, self._send
+        )
+
+    def state(self, sequence):
+        return VmState(self.name, 1, sequence, "serra", self.domain, "callers", self.name)
+
+    def receive(self, datagram):
+        if self.is_silent:
+            return
+        message = decode(datagram)
+        if isinstance(message, DomainBroadcast):
+            self.broadcasts.on_broadcast(message)
+        elif isinstance(message, FeatureReport):
+            self.broadcasts.on_features(message)
+        else:
+            self._on_message(message)
+
+    def _on_message(self, message):
+        self.received.append(message)
+        self.view.on_state(self.network.clock.now(), message)
+
+    def _send(self, datagram, address):
+        self.network.send(datagram, self.name, address)
+
+
+class Network:
+    """VMs of two failure domains that know each other.
+
+    :ivar crossings: datagrams between the failure domains as sender and recipient.
+    """
+
+    def __init__(self, old=()):
+        self.clock, self.crossings = VirtualClock(), []
+        vms = [Vm(self, n, domain) for domain, count in DOMAINS.items() for n in range(count)]
+        self.vms = {vm.name: vm for vm in vms}
+        for vm in vms:
+            for other in vms:
+                other.view.on_state(self.clock.now(), vm.state(1))
+        for vm in vms:
+            if vm.name not in old:
+                vm.broadcasts.step()
+        self.crossings.clear()
+        self.sequence = 1
+
+    def send(self, datagram, sender, recipient):
+        if self.vms[sender].domain != self.vms[recipient].domain:
+            self.crossings.append((sender, recipient))
+        self.vms[recipient].receive(datagram)
+
+    def publish(self, name):
+        """Let a VM send its next state to all others; return the names that received it."""
+        vm = self.vms[name]
+        self.sequence += 1
+        state = vm.state(self.sequence)
+        vm.broadcasts.send_to_region(encode(state), vm.view.known_local_peers())
+        return {other.name for other in self.vms.values() if state in other.received}
+
+
+def test_state_crosses_to_another_failure_domain_once():
+    """Guards against copies of each state for each VM of the other failure domain."""
+    network = Network()
+    for name in network.vms:
+        network.crossings.clear()
+        assert network.publish(name) == set(network.vms) - {name}
+        assert len(network.crossings) == 1
+
+
+def test_vms_forward_in_turn():
+    """Guards against one VM that forwards everything."""
+    network = Network()
+    for _ in range(8):
+        network.publish("serra-a-0")
+    forwarders = [recipient for _, recipient in network.crossings]
+    assert sorted(forwarders) == sorted(2 * [f"serra-b-{number}" for number in range(4)])
+
+
+def test_failed_forwarder_costs_a_part_of_the_states_until_it_is_noticed():
+    """Guards against a failure domain that hears nothing after one of its VMs has failed."""
+    network = Network()
+    network.vms["serra-b-1"].is_silent = True
+    reached = [network.publish("serra-a-0") for _ in range(8)]
+    assert sum("serra-b-2" in names for names in reached) == 6
+    network.clock.time += 1.0
+    for name in ("serra-b-0", "serra-b-2", "serra-b-3"):
+        network.publish(name)
+    assert all("serra-b-2" in network.publish("serra-a-0") for _ in range(8))
+
+
+def test_vms_of_older_builds_are_sent_to_and_do_not_forward():
+    """Guards against states that end at a VM which does not know how to forward them."""
+    old = {"serra-b-0", "serra-b-1", "serra-b-2"}
+    network = Network(old)
+    assert network.publish("serra-a-0") == set(network.vms) - {"serra-a-0"}
+    assert network.crossings == [("serra-a-0", "serra-b-3")]
+    network = Network({*old, "serra-b-3"})
+    assert network.publish("serra-a-0") == set(network.vms) - {"serra-a-0"}
+    assert len(network.crossings) == 4
+
+
+def test_restarted_vm_forwards_only_once_it_has_said_so():
+    """Guards against a VM that comes back as an older build and drops what it should forward."""
+    network = Network()
+    sender = network.vms["serra-a-0"]
+    for number in range(4):
+        restarted = VmState(f"serra-b-{number}", 2, 1, "serra", "serra-b", "c", f"serra-b-{number}")
+        sender.view.on_state(network.clock.now(), restarted)
+    network.publish("serra-a-0")
+    assert len(network.crossings) == 4
+
+
+def test_features_are_repeated_from_time_to_time():
+    """Guards against a VM that missed the report of another one and never learns of it."""
+    network = Network()
+    network.clock.time += FEATURE_INTERVAL_S
+    network.vms["serra-b-0"].broadcasts.step()
+    network.vms["serra-b-0"].broadcasts.step()
+    assert len(network.crossings) == DOMAINS["serra-a"]
+
+
+@pytest.mark.parametrize(
+    "datagram",
+    [b"", b"\x93", encode(CrashReport()), encode(DomainBroadcast(encode(CrashReport())))],
+)
+def test_broadcast_of_anything_but_states_and_digests_is_dropped(datagram):
+    """Guards against datagrams that circulate, or stop a VM."""
+    network = Network()
+    vm = network.vms["serra-b-0"]
+    vm.broadcasts.on_broadcast(DomainBroadcast(datagram))
+    assert vm.received == [] and network.crossings == []
+
+
+def test_broadcast_with_a_text_is_malformed():
+    datagram = encode(DomainBroadcast(b"x")).replace(b"\xc4\x01x", b"\xa1x")
+    with pytest.raises(MessageError):
+        decode(datagram)
