--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
+TEST_JOBS ?= 4
 STAMP := $(VENV)/.installed
 
 .PHONY: demo test bench golden check format clean
@@ -15,7 +16,7 @@
 	PATH="$(CURDIR)/$(BIN):$$PATH" scripts/demo.sh $(DEMO_ARGS)
 
 test: $(STAMP)
-	$(BIN)/python -m pytest $(TEST_ARGS)
+	$(BIN)/python -m pytest --numprocesses $(TEST_JOBS) --dist worksteal $(TEST_ARGS)
 
 bench: $(STAMP)
 	scripts/bench_sockets.sh $(BIN)/python $(BENCH_REQUESTS) > $(VENV)/sockets.json
