Send digests to a small region through one VM of each failure domain

The aggregator of a region sent its digest five times a second to each VM of every region of up to 17 VMs. It now sends it to one VM of each of their failure domains, a different one each time, which forwards it, as is done with states within a region. Regions of more VMs receive it as before.

--- a/src/hibiscushaven/gateway/domain_broadcasts.py
+++ b/src/hibiscushaven/gateway/domain_broadcasts.py
@@ -1,4 +1,4 @@
-"""Datagrams for all VMs of a region that cross the border of a failure domain only once."""
+"""Datagrams for all VMs of failure domains, sent to one VM of each."""
 
 import logging
 from collections.abc import Callable, Iterable
@@ -24,17 +24,17 @@
 
 
 class DomainBroadcasts:
-    """Sends datagrams to the VMs of a region, to each other failure domain through one of its VMs.
+    """Sends datagrams to all VMs of failure domains, to each other one through one of its VMs.
 
     Explanation
     ===========
 
-    Bytes between failure domains are expensive, and most of them would be copies of the same
-    states. A datagram for all VMs of another failure domain goes to one of them, which forwards
-    it. The forwarder changes with each datagram: one that has failed unnoticed costs a part of the
-    datagrams, as lossy links do, and a VM that cannot be reached through another one is sent to
-    directly in turn. VMs of older builds do not forward, and are not chosen: only VMs that have
-    said since their start that they do.
+    Bytes between failure domains and regions are expensive, and most of them would be copies of
+    the same states and digests. A datagram for all VMs of another failure domain goes to one of
+    them, which forwards it. The forwarder changes with each datagram: one that has failed unnoticed
+    costs a part of the datagrams, as lossy links do, and a VM that cannot be reached through
+    another one is sent to directly in turn. VMs of older builds do not forward, and are not chosen:
+    only VMs that have said since their start that they do.
 
     :param on_message: processes the message in a broadcast.
     :param send: sends a datagram to the address of a VM.
@@ -58,10 +58,10 @@
         self._forwarders: dict[str, int] = {}
         self._turn = 0
 
-    def send_to_region(self, datagram: bytes, recipients: Iterable[VmState]) -> None:
-        """Send a datagram to all VMs of the region.
+    def send(self, datagram: bytes, recipients: Iterable[VmState]) -> None:
+        """Send a datagram to all VMs of some failure domains.
 
-        :param recipients: all of them.
+        :param recipients: the VMs of these failure domains.
         """
         broadcast: bytes | None = None
         by_domain: dict[str, list[VmState]] = {}
@@ -117,7 +117,7 @@
         if now - self._features_sent_at < FEATURE_INTERVAL_S:
             return
         self._features_sent_at = now
-        peers = self._view.known_local_peers()
+        peers = self._view.known_peers()
         for state in filter(self._is_in_other_domain, peers):
             self._send(self._features, state.peers_at)
         names = {state.name for state in peers}
@@ -126,14 +126,13 @@
         }
 
     def _is_in_other_domain(self, state: VmState) -> bool:
-        is_local = state.region == self._view.region
-        return is_local and state.failure_domain != self._view.failure_domain
+        return state.failure_domain != self._view.failure_domain
 
     def _forwarder_of(self, failure_domain: str, states: list[VmState]) -> VmState | None:
         """Return the VM of another failure domain whose turn it is, if any forwards."""
         if failure_domain == self._view.failure_domain or len(states) < 2:
             return None
-        live = {state.name for state in self._view.live_local_peers(self._now())}
+        live = {state.name for state in self._view.live_peers(self._now())}
         forwarders = [
             state
             for state in states
--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -364,7 +364,7 @@
             self._lost_servers.report(now, digest.lost_server_ages_s)
             self._compare_versions(now, digest.sender, digest)
         elif self.view.is_aggregating(now):
-            self._broadcasts.send_to_region(encode(digest), self.view.known_local_peers())
+            self._broadcasts.send(encode(digest), self.view.known_local_peers())
 
     def _compare_versions(self, now: float, name: str, state: VmState | RegionDigest) -> None:
         """Use a peer's versions to confirm the data held here, or fetch newer data from it."""
@@ -571,7 +571,7 @@
             return
         datagram = encode(self._state())
         if not to_all and len(recipients) == self.view.local_peer_count:
-            self._broadcasts.send_to_region(datagram, recipients)
+            self._broadcasts.send(datagram, recipients)
         else:
             self._send(datagram, recipients)
 
@@ -625,13 +625,15 @@
         )
 
     def _send_remote_digest(self, now: float) -> None:
-        recipients = self.view.remote_digest_recipients(now)
-        if not recipients:
+        whole_regions, single_vms = self.view.remote_digest_recipients(now)
+        if not (whole_regions or single_vms):
             return
         digest = self._digest(now)
         if self.view.is_aggregating(now):
             digest = replace(digest, sequences=self.view.sequences(now))
-        self._send(encode(digest), recipients)
+        datagram = encode(digest)
+        self._broadcasts.send(datagram, whole_regions)
+        self._send(datagram, single_vms)
 
     async def _send_local_digests(self) -> None:
         """Send digests to the VMs of a large region while this VM is its aggregator."""
@@ -644,7 +646,7 @@
         if self.view.is_aggregating(now):
             datagram = encode(self._local_digest(now))
             self._digest_bytes = len(datagram)
-            self._broadcasts.send_to_region(datagram, self.view.known_local_peers())
+            self._broadcasts.send(datagram, self.view.known_local_peers())
 
     def _digest_interval_s(self) -> float:
         vms, link_mbps = self.view.local_peer_count, self._options.link_mbps
--- a/src/hibiscushaven/gateway/tests/test_domain_broadcasts.py
+++ b/src/hibiscushaven/gateway/tests/test_domain_broadcasts.py
@@ -8,6 +8,7 @@
     FeatureReport,
     FleetView,
     MessageError,
+    RegionDigest,
     VmState,
 )
 from hibiscushaven.fleet.messages import decode, encode
@@ -45,7 +46,8 @@
 
     def _on_message(self, message):
         self.received.append(message)
-        self.view.on_state(self.network.clock.now(), message)
+        if isinstance(message, VmState):
+            self.view.on_state(self.network.clock.now(), message)
 
     def _send(self, datagram, address):
         self.network.send(datagram, self.name, address)
@@ -80,7 +82,7 @@
         vm = self.vms[name]
         self.sequence += 1
         state = vm.state(self.sequence)
-        vm.broadcasts.send_to_region(encode(state), vm.view.known_local_peers())
+        vm.broadcasts.send(encode(state), vm.view.known_local_peers())
         return {other.name for other in self.vms.values() if state in other.received}
 
 
@@ -136,6 +138,26 @@
     assert len(network.crossings) == 4
 
 
+def test_digest_for_another_region_goes_to_one_vm_of_each_failure_domain():
+    """Guards against copies of a digest for each VM of another region."""
+    network = Network()
+    remote = FleetView("vale-0", "vale", "vale-a")
+    sent = []
+    broadcasts = DomainBroadcasts(
+        remote, 1, network.clock, lambda message: None, lambda data, peer: sent.append((data, peer))
+    )
+    for name, vm in network.vms.items():
+        remote.on_state(network.clock.now(), vm.state(2))
+        broadcasts.on_features(FeatureReport(name, 1, True))
+    recipients, single_vms = remote.remote_digest_recipients(network.clock.now())
+    digest = RegionDigest("vale", "vale-0", 1, 1, {7: 2})
+    broadcasts.send(encode(digest), recipients)
+    assert len(sent) == len(DOMAINS) and single_vms == []
+    for datagram, recipient in sent:
+        network.vms[recipient].receive(datagram)
+    assert all(vm.received[-1] == digest for vm in network.vms.values())
+
+
 def test_features_are_repeated_from_time_to_time():
     """Guards against a VM that missed the report of another one and never learns of it."""
     network = Network()
