Send the periodic state to other regions through one VM of each failure domain

Each VM sent its state to every VM of all regions once a second, so that those of other regions know that it is up. To other regions it now goes through one VM of each failure domain, a different one each time; with two VMs in a domain of which one has failed unnoticed, a state arrives every two seconds, and a VM of another region counts as down after three. A VM that leaves still tells each VM itself, and the VMs of the own region are sent to directly.

--- a/src/hibiscushaven/fleet/view.py
+++ b/src/hibiscushaven/fleet/view.py
@@ -256,6 +256,10 @@
         """Return the other VMs of the own region, up or down."""
         return [peer.state for peer in self._local_peers()]
 
+    def known_remote_peers(self) -> list[VmState]:
+        """Return the VMs of other regions, up or down."""
+        return [peer.state for peer in self._peers.values() if peer.state.region != self.region]
+
     def reader_rank(self, now: float, can_read: bool) -> int:
         """Return this VM's rank among the VMs of the region as a reader of the store.
 
--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -257,7 +257,7 @@
         """Announce to all VMs at once that this VM accepts no new callers."""
         self._is_leaving = True
         self.view.is_leaving = True
-        self._send_state(to_all=True)
+        self._send_state_to_all(is_urgent=True)
 
     async def close(self) -> None:
         """Stop all tasks and close the sockets."""
@@ -555,26 +555,38 @@
             return {}
         return {token_of(server_id): count for server_id, count in self.loads.in_progress().items()}
 
-    def _send_state(self, to_all: bool = False) -> None:
-        """Send this VM's state.
-
-        :param to_all: whether to send it to the VMs of all regions, in place of those of the
-            region that need it.
-        """
+    def _send_state(self) -> None:
+        """Send this VM's state to the VMs of the region that need it."""
         self._is_send_scheduled = False
         now = self._clock.now()
-        recipients = self.view.known_peers() if to_all else self.view.state_recipients(now)
+        recipients = self.view.state_recipients(now)
         self._state_sent_at = now
-        if to_all:
-            self._sent_to_all_at = now
         if not recipients:
             return
         datagram = encode(self._state())
-        if not to_all and len(recipients) == self.view.local_peer_count:
+        if len(recipients) == self.view.local_peer_count:
             self._broadcasts.send(datagram, recipients)
         else:
             self._send(datagram, recipients)
 
+    def _send_state_to_all(self, is_urgent: bool = False) -> None:
+        """Send this VM's state to the VMs of all regions.
+
+        :param is_urgent: whether each VM must receive it at once, also if the VM fails that would
+            forward it.
+        """
+        self._is_send_scheduled = False
+        self._state_sent_at = self._sent_to_all_at = self._clock.now()
+        local, remote = self.view.known_local_peers(), self.view.known_remote_peers()
+        if not (local or remote):
+            return
+        datagram = encode(self._state())
+        self._send(datagram, local)
+        if is_urgent:
+            self._send(datagram, remote)
+        else:
+            self._broadcasts.send(datagram, remote)
+
     def _gossips(self) -> tuple[Gossip, ...]:
         return (
             self.crash_exchange.gossip,
@@ -689,11 +701,12 @@
         for service in self._services():
             self._change_logger.log_replication(service, self.picker.replication_factors(service))
         interval_s = AGGREGATED_STATE_INTERVAL_S if has_aggregator else REMOTE_STATE_INTERVAL_S
-        to_all = now - self._sent_to_all_at >= interval_s
         # Half the interval, since a state that is due shortly after this step would otherwise wait
         # for the next one.
-        if to_all or now - self._state_sent_at >= STATE_INTERVAL_S / 2:
-            self._send_state(to_all)
+        if now - self._sent_to_all_at >= interval_s:
+            self._send_state_to_all()
+        elif now - self._state_sent_at >= STATE_INTERVAL_S / 2:
+            self._send_state()
         if self.view.is_aggregator(now):
             self._send_remote_digest(now)
         self._report_data_age(now)
--- a/src/hibiscushaven/gateway/tests/test_large_region.py
+++ b/src/hibiscushaven/gateway/tests/test_large_region.py
@@ -181,7 +181,7 @@
     fleet.advance(1.0)
     assert fleet.sent_datagrams <= 18 * (5 + 10) * 1.5
     fleet.down.clear()
-    fleet.nodes["serra-3"]._send_state(to_all=True)
+    fleet.nodes["serra-3"]._send_state_to_all()
     fleet.advance(1.5)
     assert fleet.reported_in_progress() == fleet.expected_in_progress()
 
--- a/src/hibiscushaven/gateway/tests/test_node.py
+++ b/src/hibiscushaven/gateway/tests/test_node.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from hibiscushaven.discovery import KnownServer, RegistryUpdate
-from hibiscushaven.fleet import VmState, token_of
+from hibiscushaven.fleet import FeatureReport, VmState, token_of
 from hibiscushaven.forwarding.tests.support import make_route
 from hibiscushaven.gateway.node import NEWER_VERSION_LIFETIME_S
 from hibiscushaven.placement.admission import PlacementRequest
@@ -267,3 +267,21 @@
         assert requested_versions[-1] == 20
 
     asyncio.run(scenario())
+
+
+def test_periodic_state_crosses_to_another_region_once_and_that_of_a_leaving_vm_to_each():
+    """Guards against callers that are sent to a VM which has left, and against needless copies."""
+    node, sent = make_node(), []
+    node._transport.send = lambda datagram, address: sent.append(address)
+    for number in range(4):
+        name = f"vale-{number}"
+        state = VmState(name, 1, 1, "vale", "vale-a", "10.0.0.2:80", f"{name}:1")
+        node._on_message(state)
+        node._on_message(FeatureReport(name, 1, True))
+    sent.clear()
+    for _ in range(4):
+        node._send_state_to_all()
+    assert sorted(sent) == [f"vale-{number}:1" for number in range(4)]
+    sent.clear()
+    node.leave()
+    assert sorted(sent) == [f"vale-{number}:1" for number in range(4)]
--- a/src/hibiscushaven/gateway/tests/test_region_model.py
+++ b/src/hibiscushaven/gateway/tests/test_region_model.py
@@ -50,7 +50,7 @@
     def return_all(self):
         returned, self.fleet.down = self.fleet.down, set()
         for name in sorted(returned):
-            self.fleet.nodes[name]._send_state(to_all=True)
+            self.fleet.nodes[name]._send_state_to_all()
         self.fleet._deliver()
 
     @rule(rate=st.sampled_from([0.0, 0.02, 0.05]))
