--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -793,7 +793,6 @@
     return PickerOptions(
         options.name,
         options.region,
-        options.failure_domain,
         options.regions,
         max_shift_per_s=SHIFT_FRACTION_PER_S * options.shift_cap,
     )
--- a/src/hibiscushaven/placement/affinity.py
+++ b/src/hibiscushaven/placement/affinity.py
@@ -1,7 +1,6 @@
 """Cache affinity: which backend servers should have an object in their cache."""
 
-from collections import Counter, OrderedDict
-from collections.abc import Mapping, Sequence
+from collections import OrderedDict
 
 import xxhash
 
@@ -59,53 +58,32 @@
     All VMs compute the same order, so that the requests for an object reach the same few servers,
     which then have it cached. Adding or removing a server changes the order of few objects.
 
-    The first servers are in different failure domains: each VM can then use one in its own, and an
-    object remains cached when a failure domain fails.
-
     Examples
     ========
 
     >>> order = RendezvousOrder()
-    >>> servers = {"s1": "a", "s2": "a", "s3": "b"}
+    >>> servers = ("s1", "s2", "s3")
     >>> order.servers_for("17", servers) == order.servers_for("17", servers)
     True
     >>> sorted(order.servers_for("17", servers))
     ['s1', 's2', 's3']
-    >>> "s3" in order.servers_for("17", servers)[:2]
-    True
 
     """
 
     def __init__(self) -> None:
         self._orders: OrderedDict[tuple[str, tuple[str, ...]], tuple[str, ...]] = OrderedDict()
 
-    def servers_for(self, key: str, servers: Mapping[str, str]) -> tuple[str, ...]:
-        """Return the servers in order of preference, those that should cache the object first.
-
-        :param servers: failure domains by server id.
-        """
-        server_ids = tuple(servers)
+    def servers_for(self, key: str, server_ids: tuple[str, ...]) -> tuple[str, ...]:
+        """Return the servers in order of preference, those that should cache the object first."""
         order = self._orders.get((key, server_ids))
         if order is None:
-            order = _alternate(
-                sorted(server_ids, key=lambda name: hash_of(f"{key}/{name}")), servers
-            )
+            order = tuple(sorted(server_ids, key=lambda name: hash_of(f"{key}/{name}")))
             self._orders[key, server_ids] = order
             if len(self._orders) > MAX_CACHED_ORDERS:
                 self._orders.popitem(last=False)
         return order
 
 
-def _alternate(server_ids: Sequence[str], servers: Mapping[str, str]) -> tuple[str, ...]:
-    """Return the servers with the first of each failure domain first, then the second of each."""
-    counts: Counter[str] = Counter()
-    rounds = {}
-    for server_id in server_ids:
-        rounds[server_id] = counts[servers[server_id]]
-        counts[servers[server_id]] += 1
-    return tuple(sorted(server_ids, key=rounds.__getitem__))
-
-
 def cache_lookup_counter(service: str, region: str) -> str:
     """Return the name under which responses from servers that should have a hit are counted."""
     return f"{service}/{region}/known"
--- a/src/hibiscushaven/placement/picker.py
+++ b/src/hibiscushaven/placement/picker.py
@@ -84,7 +84,6 @@
 
     :ivar name: name of this VM.
     :ivar region: region of this VM.
-    :ivar failure_domain: failure domain of this VM.
     :ivar regions: region by failure domain.
     :ivar max_shift_per_s: largest fraction of a region's requests that may move to other regions
         per second.
@@ -92,7 +91,6 @@
 
     name: str
     region: str
-    failure_domain: str
     regions: Mapping[str, str]
     max_shift_per_s: float
 
@@ -443,11 +441,9 @@
         if request.key is None or not has_affinity:
             order, replicas = tuple(by_id), len(by_id)
         else:
-            domains = {server_id: item.record.failure_domain for server_id, item in by_id.items()}
-            order = self._order.servers_for(request.key, domains)
+            order = self._order.servers_for(request.key, tuple(by_id))
             factor = state.replication.get(region)
             replicas = factor.replicas_at(position_of(request.key)) if factor is not None else 1
-            order = self._own_domain_first(order[:replicas], domains) + order[replicas:]
         best: Placement | None = None
         best_cost = 0.0
         shortest_wait_s = request.time_left_s
@@ -502,16 +498,6 @@
             "all backend servers are busy", max(MIN_RETRY_AFTER_S, shortest_wait_s), len(order)
         )
 
-    def _own_domain_first(
-        self, server_ids: tuple[str, ...], domains: Mapping[str, str]
-    ) -> tuple[str, ...]:
-        """Return servers that have an object, those of this VM's failure domain first.
-
-        Bytes between failure domains are expensive, and all of the servers are about equal.
-        """
-        own = self._options.failure_domain
-        return tuple(sorted(server_ids, key=lambda server_id: domains[server_id] != own))
-
     def _deprioritized(self, now: float, servers: tuple[KnownServer, ...]) -> frozenset[str]:
         """Return the servers that are much slower than expected, unless most servers are."""
         names = (server.record.server_id for server in servers)
