Limit the number of pauses that is counted

Each pause of a server that serves nothing doubles the next one up to 2 s, but the number of pauses was counted without limit: after 1,024 of them, about half an hour, the power of two raised OverflowError in the path of each rejected request. The new test fails before with that error.

--- a/src/hibiscushaven/placement/notices.py
+++ b/src/hibiscushaven/placement/notices.py
@@ -21,6 +21,9 @@
 # long as the longest backoff after failures: a request that finds the server ready again ends it.
 MAX_GROWN_PAUSE_S = 2.0
 
+# Doublings after which a pause of a millisecond has grown to that; more would overflow in the end.
+MAX_DOUBLINGS = 11
+
 # Time after a pause in which a server still counts as reluctant: the usual window of the retry
 # budget, of which each request that it rejects uses up a part.
 RELUCTANCE_S = 10.0
@@ -95,7 +98,7 @@
             pause_s = min(notice.pause_s, MAX_PAUSE_S)
             if not was_excluded:
                 pauses = self._pauses_in_a_row.get(process_id, 0)
-                self._pauses_in_a_row[process_id] = pauses + 1
+                self._pauses_in_a_row[process_id] = min(pauses + 1, MAX_DOUBLINGS)
                 pause_s = max(pause_s, min(MAX_GROWN_PAUSE_S, pause_s * 2.0**pauses))
             pause_s += spread * min(MAX_PAUSE_SPREAD_S, PAUSE_SPREAD * pause_s)
             until = max(now + pause_s, self._paused_until.get(process_id, 0.0))
--- a/src/hibiscushaven/placement/tests/test_notices.py
+++ b/src/hibiscushaven/placement/tests/test_notices.py
@@ -84,3 +84,12 @@
     for now in (0.0, 20.0):
         table.record(now, "s/1", pause(20.0))
     assert table.pause_left_s(20.0, "s/1") == pytest.approx(20.0)
+
+
+def test_server_that_pauses_for_hours_raises_no_error():
+    """Guards against a number of pauses whose power of two is too large."""
+    table, now = ServerNotices(), 0.0
+    for _ in range(2000):
+        table.record(now, "s/1", pause(0.5))
+        now += table.pause_left_s(now, "s/1")
+    assert now < 2000 * (MAX_GROWN_PAUSE_S + 0.01)
