Let the retry budget decide whether a server that paused is tried again

A request goes to a server that has served nothing since its pause only if it has an attempt left and less than half of the VM's retry budget is used, or if no other server is free.

Also: the notice of a rejection was read twice; a 429 or 421 of a server counted as a request that it had served; a 503 with a pause outside of a rejection still counted as a failure of its server.

--- a/src/hibiscushaven/forwarding/forwarder.py
+++ b/src/hibiscushaven/forwarding/forwarder.py
@@ -316,6 +316,8 @@
             frozenset(context.excluded),
             # Retries by this VM are admitted like those of callers, since they have lost time too.
             context.is_caller_retry or context.sent_attempts > 0,
+            context.attempts_left > 1
+            and self._retry_budget(context.service).has_spare(now, self._vm_count()),
         )
 
     def _try_spend_retry(self, now: float, context: RequestContext) -> bool:
@@ -370,7 +372,7 @@
             load.start_times.pop(attempt_number, None)
             self._on_load_change()
         return await self._on_response(
-            context, placement, head, notice.load, response_time_s, body, body_stream
+            context, placement, head, notice, response_time_s, body, body_stream
         )
 
     def _attempt_request(self, context: RequestContext, server: KnownServer) -> AttemptRequest:
@@ -397,6 +399,9 @@
         server_id = server.record.server_id
         load = self._loads.of(server_id)
         context.last_error = str(error)
+        notice: ServerNotice | None = None
+        if error.headers is not None:
+            notice = self._record_notice(server, error.status, error.headers)
         kind = error.kind
         if kind is FailureKind.NOT_CONNECTED:
             load.on_connection_loss(now, is_unreachable=True)
@@ -411,8 +416,8 @@
         elif kind is FailureKind.DEADLINE:
             self._on_timeout(now, context, load)
         elif kind is FailureKind.REFUSED:
-            # A server that asks for a pause is excluded for that time, and is no worse after it.
-            is_failure = not self._asks_for_pause(error)
+            # A server that asks for a pause is left out for that time, and is no worse after it.
+            is_failure = notice is None or not notice.pause_s
             load.on_response(now, None, is_failure=is_failure, report=None)
             self._picker.record_response(now, server_id)
         elif kind in (FailureKind.MALFORMED, FailureKind.WRONG_ATTEMPT_ID):
@@ -423,8 +428,6 @@
             self._links.on_failure(server_id)
         elif kind in _RESPONDED:
             self._links.on_response(server_id)
-        if error.headers is not None:
-            self._record_notice(server, error.status, error.headers)
         self._reporter.attempt_failed(context, server_id, error)
         if kind.is_before_sending:
             context.connect_failures += 1
@@ -442,7 +445,7 @@
         context: RequestContext,
         placement: Placement,
         head: AttemptResponse,
-        report: LoadReport | None,
+        notice: ServerNotice,
         response_time_s: float,
         body: bytes,
         body_stream: AsyncIterator[bytes] | None,
@@ -456,11 +459,9 @@
             relative_duration = self._record_processing_time(
                 now, context, placement, response_time_s
             )
-            self._count_cache_lookup(now, context, placement, response_time_s, report)
-        load.on_response(now, relative_duration, is_failure, report)
+            self._count_cache_lookup(now, context, placement, response_time_s, notice.load)
+        load.on_response(now, relative_duration, is_failure and not notice.pause_s, notice.load)
         self._picker.record_response(now, placement.server.record.server_id)
-        if not is_failure:
-            self._picker.notices.record_served(placement.server.record.process_id)
         if head.status in NOT_RUN_STATUSES:
             # Callers take these statuses as a guarantee that the request has not run. The backend
             # server gave no such guarantee.
@@ -477,6 +478,7 @@
             headers = name_server(headers, placement.server.record.process_id)
         response = CallerResponse(head.status, headers, body, body_stream, head.content_length)
         if not is_failure:
+            self._picker.notices.record_served(now, placement.server.record.process_id)
             self._detector.on_success(now, context.fingerprint)
             return response
         context.last_error = f"backend server answered {head.status}"
@@ -502,11 +504,6 @@
             self._reporter.server_excluded(process_id, notice)
         return notice
 
-    def _asks_for_pause(self, error: AttemptError) -> bool:
-        if error.headers is None:
-            return False
-        return self._notice_reader.read_notice(error.status, error.headers).pause_s is not None
-
     def _on_timeout(self, now: float, context: RequestContext, load: ServerLoad) -> None:
         """Lower the estimated speed of the server if the attempt exceeded its predicted time."""
         placement = context.placement
--- a/src/hibiscushaven/placement/admission.py
+++ b/src/hibiscushaven/placement/admission.py
@@ -26,6 +26,7 @@
     :ivar time_left_s: time left until its deadline.
     :ivar excluded: backend servers that must not receive it, since it was already sent to them.
     :ivar is_caller_retry: whether its caller retries after a refusal.
+    :ivar can_bear_rejection: whether it can go to another server if this one rejects it.
     """
 
     route: Route
@@ -35,6 +36,7 @@
     time_left_s: float
     excluded: frozenset[str] = frozenset()
     is_caller_retry: bool = False
+    can_bear_rejection: bool = True
 
 
 def is_admissible(
--- a/src/hibiscushaven/placement/budget.py
+++ b/src/hibiscushaven/placement/budget.py
@@ -14,6 +14,10 @@
 # too large.
 DISCOVERY_S = 2.0
 
+# Fraction of a VM's retries that may follow from attempts which it expects to fail. The rest is for
+# failures that it cannot foresee.
+FORESEEN_FRACTION = 0.5
+
 
 class RetryBudget:
     """This VM's share of a service's retry budget over a sliding window.
@@ -70,17 +74,27 @@
 
         :param vms: number of VMs that share ``fixed_retries``; infinite while it is unknown.
         """
-        bucket = self._bucket(now)
+        if not self._has_room(now, vms, 1.0):
+            return False
+        self._bucket(now)[2] += 1
+        return True
+
+    def has_spare(self, now: float, vms: float) -> bool:
+        """Return whether a request may try a server that will probably reject it.
+
+        :param vms: as for ``try_spend``.
+        """
+        return self._has_room(now, vms, FORESEEN_FRACTION)
+
+    def _has_room(self, now: float, vms: float, fraction: float) -> bool:
+        """Return whether one more retry stays within a fraction of the budget."""
+        self._bucket(now)
         requests = sum(item[1] for item in self._buckets)
         retries = sum(item[2] for item in self._buckets)
         known_s = now - self._started_at - DISCOVERY_S
         known_fraction = min(1.0, max(0.0, known_s / self._window_s))
         allowed = self._ratio * requests + self._fixed_retries / max(1, vms)
-        allowed *= USABLE_FRACTION * known_fraction
-        if retries + 1 > allowed:
-            return False
-        bucket[2] += 1
-        return True
+        return retries + 1 <= allowed * USABLE_FRACTION * known_fraction * fraction
 
     def _bucket(self, now: float) -> list[float]:
         start = now - now % _BUCKET_S
--- a/src/hibiscushaven/placement/notices.py
+++ b/src/hibiscushaven/placement/notices.py
@@ -17,17 +17,6 @@
 PAUSE_SPREAD = 0.1
 MAX_PAUSE_SPREAD_S = 0.5
 
-# Longest pause to which a server's shorter pauses grow while each is followed by another one. As
-# long as the longest backoff after failures: a request that finds the server ready again ends it.
-MAX_GROWN_PAUSE_S = 2.0
-
-# Doublings after which a pause of a millisecond has grown to that; more would overflow in the end.
-MAX_DOUBLINGS = 11
-
-# Time after a pause in which a server still counts as reluctant: the usual window of the retry
-# budget, of which each request that it rejects uses up a part.
-RELUCTANCE_S = 10.0
-
 
 @dataclass(frozen=True, slots=True)
 class ServerNotice:
@@ -55,10 +44,8 @@
     A process that leaves does so for good, whatever an older record in the store says. A pause
     concerns this VM alone, and the later end of two holds.
 
-    A server that asks for another pause when one has ended would cost one request at the end of
-    each, which may have no attempt left for another server. The pauses of such a server double up
-    to ``MAX_GROWN_PAUSE_S``, and it counts as reluctant until it has served a request or has been
-    left alone for ``RELUCTANCE_S``.
+    After its pause a server is reluctant until it has served a request: it may reject the next one
+    as well, which costs an attempt and a retry.
 
     Examples
     ========
@@ -79,8 +66,6 @@
         # Process ids, oldest first.
         self._leaving: dict[str, None] = {}
         self._paused_until: dict[str, float] = {}
-        # Number of pauses, one after the other, since the server last served a request.
-        self._pauses_in_a_row: dict[str, int] = {}
 
     def record(
         self, now: float, process_id: str, notice: ServerNotice, spread: float = 0.0
@@ -96,24 +81,19 @@
                 del self._leaving[next(iter(self._leaving))]
         if notice.pause_s is not None:
             pause_s = min(notice.pause_s, MAX_PAUSE_S)
-            if not was_excluded:
-                pauses = self._pauses_in_a_row.get(process_id, 0)
-                self._pauses_in_a_row[process_id] = min(pauses + 1, MAX_DOUBLINGS)
-                pause_s = max(pause_s, min(MAX_GROWN_PAUSE_S, pause_s * 2.0**pauses))
             pause_s += spread * min(MAX_PAUSE_SPREAD_S, PAUSE_SPREAD * pause_s)
             until = max(now + pause_s, self._paused_until.get(process_id, 0.0))
             self._paused_until[process_id] = until
         return not was_excluded and self.is_excluded(now, process_id)
 
-    def record_served(self, process_id: str) -> None:
-        """Record that a server has served a request of this VM."""
-        self._pauses_in_a_row.pop(process_id, None)
+    def record_served(self, now: float, process_id: str) -> None:
+        """Record that a server has served a request of this VM; its pause holds until its end."""
+        if self.pause_left_s(now, process_id) <= 0:
+            self._paused_until.pop(process_id, None)
 
-    def is_reluctant(self, now: float, process_id: str) -> bool:
-        """Return whether a server has lately asked for a pause and served nothing since."""
-        if process_id not in self._pauses_in_a_row:
-            return False
-        return now < self._paused_until.get(process_id, 0.0) + RELUCTANCE_S
+    def is_reluctant(self, process_id: str) -> bool:
+        """Return whether a server has served nothing since its last pause."""
+        return process_id in self._paused_until
 
     def is_excluded(self, now: float, process_id: str) -> bool:
         """Return whether a server must get no requests of this VM now."""
@@ -133,6 +113,3 @@
         self._paused_until = {
             key: until for key, until in self._paused_until.items() if key in process_ids
         }
-        self._pauses_in_a_row = {
-            key: count for key, count in self._pauses_in_a_row.items() if key in process_ids
-        }
--- a/src/hibiscushaven/placement/picker.py
+++ b/src/hibiscushaven/placement/picker.py
@@ -73,8 +73,8 @@
 # or the link of that VM is down, in processing times. It decides only while other servers are free.
 SUSPICION_PENALTY = 4.0
 
-# Cost of a server that has served nothing since its last pause, in processing times. It decides
-# only while other servers are free.
+# Cost of a server that has served nothing since its last pause, in processing times, for a request
+# that cannot bear a rejection. It decides only while other servers are free.
 RELUCTANCE_PENALTY = 4.0
 
 
@@ -484,7 +484,8 @@
                 penalty += UTILIZATION_PENALTY * used_slots / max(1, server.record.slots)
             if self._is_suspected_lost(self._token(server_id)):
                 penalty += SUSPICION_PENALTY
-            if self.notices.is_reluctant(now, server.record.process_id):
+            is_reluctant = self.notices.is_reluctant(server.record.process_id)
+            if is_reluctant and not request.can_bear_rejection:
                 penalty += RELUCTANCE_PENALTY
             cost = processing_s * (1.0 + penalty) + wait_s
             if best is None or cost < best_cost:
--- a/src/hibiscushaven/placement/tests/test_shared_limits.py
+++ b/src/hibiscushaven/placement/tests/test_shared_limits.py
@@ -119,3 +119,14 @@
     for name, count in slots.items():
         if fits:
             assert load[name] <= 0.6 * count / 0.1 + 1e-6
+
+
+def test_retries_of_foreseen_rejections_leave_a_part_of_the_budget():
+    """Guards against attempts at rejecting servers that use up the retries of other requests."""
+    budget = RetryBudget(window_s=10.0, ratio=0.0, fixed_retries=10.0)
+    spent = 0
+    while budget.has_spare(0.0, vms=1):
+        assert budget.try_spend(0.0, vms=1)
+        spent += 1
+    assert spent == 4
+    assert sum(budget.try_spend(0.0, vms=1) for _ in range(10)) == 4
