Decide in one place whether a failure domain receives a datagram through one VM

The node compared numbers of recipients, and the view returned two lists of recipients, so that a datagram for all VMs of a failure domain could be told from one for some of them. DomainBroadcasts now sees it from the recipients and the VMs that are up, and is asked for every message; the view returns one list again, as before. What is sent to whom stays as it is; test_datagram_for_some_vms_of_a_failure_domain_goes_to_these_alone is new.

--- a/src/hibiscushaven/fleet/view.py
+++ b/src/hibiscushaven/fleet/view.py
@@ -322,21 +322,19 @@
             )
         ]
 
-    def remote_digest_recipients(self, now: float) -> tuple[list[VmState], list[VmState]]:
-        """Return the VMs of other regions to which the digest of this region is sent.
-
-        :returns: all VMs of small regions, and those of large ones that forward the digest.
-        """
+    def remote_digest_recipients(self, now: float) -> list[VmState]:
+        """Return the VMs of other regions to which the digest of this region is sent."""
         by_region: dict[str, list[VmState]] = {}
         for state in sorted(self.live_peers(now), key=_election_order):
             if state.region != self.region:
                 by_region.setdefault(state.region, []).append(state)
-        small = [states for states in by_region.values() if len(states) <= MAX_MESH_PEERS + 1]
-        large = [states for states in by_region.values() if len(states) > MAX_MESH_PEERS + 1]
-        return (
-            [state for states in small for state in states],
-            [state for states in large for state in states[:REMOTE_DIGEST_RECIPIENTS]],
-        )
+        return [
+            state
+            for states in by_region.values()
+            for state in (
+                states if len(states) <= MAX_MESH_PEERS + 1 else states[:REMOTE_DIGEST_RECIPIENTS]
+            )
+        ]
 
     def sequences(self, now: float) -> dict[int, int]:
         """Return the ``sequence`` of each live local peer's latest state, by token."""
--- a/src/hibiscushaven/gateway/domain_broadcasts.py
+++ b/src/hibiscushaven/gateway/domain_broadcasts.py
@@ -24,7 +24,7 @@
 
 
 class DomainBroadcasts:
-    """Sends datagrams to all VMs of failure domains, to each other one through one of its VMs.
+    """Sends datagrams to many VMs, to those of another failure domain through one of them.
 
     Explanation
     ===========
@@ -59,9 +59,9 @@
         self._turn = 0
 
     def send(self, datagram: bytes, recipients: Iterable[VmState]) -> None:
-        """Send a datagram to all VMs of some failure domains.
+        """Send a datagram to all given VMs.
 
-        :param recipients: the VMs of these failure domains.
+        It goes through one VM to another failure domain whose live VMs are all to receive it.
         """
         broadcast: bytes | None = None
         by_domain: dict[str, list[VmState]] = {}
@@ -128,16 +128,21 @@
     def _is_in_other_domain(self, state: VmState) -> bool:
         return state.failure_domain != self._view.failure_domain
 
-    def _forwarder_of(self, failure_domain: str, states: list[VmState]) -> VmState | None:
-        """Return the VM of another failure domain whose turn it is, if any forwards."""
-        if failure_domain == self._view.failure_domain or len(states) < 2:
+    def _forwarder_of(self, failure_domain: str, recipients: list[VmState]) -> VmState | None:
+        """Return the VM of another failure domain whose turn it is, if any can forward."""
+        if failure_domain == self._view.failure_domain or len(recipients) < 2:
+            return None
+        names = {state.name for state in recipients}
+        live = [
+            state
+            for state in self._view.live_peers(self._now())
+            if state.failure_domain == failure_domain
+        ]
+        if any(state.name not in names for state in live):
             return None
-        live = {state.name for state in self._view.live_peers(self._now())}
         forwarders = [
             state
-            for state in states
-            if state.name in live
-            and not state.is_leaving
-            and self._forwarders.get(state.name) == state.incarnation
+            for state in live
+            if not state.is_leaving and self._forwarders.get(state.name) == state.incarnation
         ]
         return forwarders[self._turn % len(forwarders)] if forwarders else None
--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -563,11 +563,7 @@
         self._state_sent_at = now
         if not recipients:
             return
-        datagram = encode(self._state())
-        if len(recipients) == self.view.local_peer_count:
-            self._broadcasts.send(datagram, recipients)
-        else:
-            self._send(datagram, recipients)
+        self._broadcasts.send(encode(self._state()), recipients)
 
     def _send_state_to_all(self, is_urgent: bool = False) -> None:
         """Send this VM's state to the VMs of all regions.
@@ -637,15 +633,13 @@
         )
 
     def _send_remote_digest(self, now: float) -> None:
-        whole_regions, single_vms = self.view.remote_digest_recipients(now)
-        if not (whole_regions or single_vms):
+        recipients = self.view.remote_digest_recipients(now)
+        if not recipients:
             return
         digest = self._digest(now)
         if self.view.is_aggregating(now):
             digest = replace(digest, sequences=self.view.sequences(now))
-        datagram = encode(digest)
-        self._broadcasts.send(datagram, whole_regions)
-        self._send(datagram, single_vms)
+        self._broadcasts.send(encode(digest), recipients)
 
     async def _send_local_digests(self) -> None:
         """Send digests to the VMs of a large region while this VM is its aggregator."""
--- a/src/hibiscushaven/gateway/tests/test_domain_broadcasts.py
+++ b/src/hibiscushaven/gateway/tests/test_domain_broadcasts.py
@@ -149,15 +149,24 @@
     for name, vm in network.vms.items():
         remote.on_state(network.clock.now(), vm.state(2))
         broadcasts.on_features(FeatureReport(name, 1, True))
-    recipients, single_vms = remote.remote_digest_recipients(network.clock.now())
+    recipients = remote.remote_digest_recipients(network.clock.now())
     digest = RegionDigest("vale", "vale-0", 1, 1, {7: 2})
     broadcasts.send(encode(digest), recipients)
-    assert len(sent) == len(DOMAINS) and single_vms == []
+    assert len(sent) == len(DOMAINS)
     for datagram, recipient in sent:
         network.vms[recipient].receive(datagram)
     assert all(vm.received[-1] == digest for vm in network.vms.values())
 
 
+def test_datagram_for_some_vms_of_a_failure_domain_goes_to_these_alone():
+    """Guards against a message for two VMs of a large region that reaches all of them."""
+    network = Network()
+    sender = network.vms["serra-a-0"]
+    some = [state for state in sender.view.known_local_peers() if state.name.startswith("serra-b")]
+    sender.broadcasts.send(encode(sender.state(2)), some[:2])
+    assert [recipient for _, recipient in network.crossings] == [s.name for s in some[:2]]
+
+
 def test_features_are_repeated_from_time_to_time():
     """Guards against a VM that missed the report of another one and never learns of it."""
     network = Network()
