Repeat less often which VMs forward broadcasts

The interval is 30 s now, and covers datagrams that were lost.

The report had a flag that no build sends as false; it is named for what it says now.

--- a/src/hibiscushaven/fleet/messages.py
+++ b/src/hibiscushaven/fleet/messages.py
@@ -11,7 +11,7 @@
 __all__ = [
     "CrashReport",
     "DomainBroadcast",
-    "FeatureReport",
+    "ForwarderReport",
     "LinkReport",
     "Message",
     "MessageError",
@@ -181,16 +181,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class FeatureReport:
-    """What a VM can do that those of older builds cannot.
+class ForwarderReport:
+    """Tells that the sender forwards each ``DomainBroadcast``, which older builds do not.
 
     :ivar incarnation: as in ``VmState``.
-    :ivar forwards_broadcasts: whether it forwards a ``DomainBroadcast``.
     """
 
     name: str
     incarnation: int
-    forwards_broadcasts: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -209,7 +207,7 @@
     | CrashReport
     | RateLimitReport
     | LinkReport
-    | FeatureReport
+    | ForwarderReport
     | DomainBroadcast
 )
 
@@ -220,7 +218,7 @@
     CrashReport,
     RateLimitReport,
     LinkReport,
-    FeatureReport,
+    ForwarderReport,
     DomainBroadcast,
 )
 
--- a/src/hibiscushaven/gateway/domain_broadcasts.py
+++ b/src/hibiscushaven/gateway/domain_broadcasts.py
@@ -5,8 +5,8 @@
 
 from hibiscushaven.fleet import (
     DomainBroadcast,
-    FeatureReport,
     FleetView,
+    ForwarderReport,
     Message,
     MessageError,
     RegionDigest,
@@ -19,8 +19,9 @@
 
 _LOG = logging.getLogger(__name__)
 
-# Interval at which VMs repeat that they forward broadcasts, for those that missed it.
-FEATURE_INTERVAL_S = 5.0
+# Interval at which VMs repeat that they forward broadcasts, for those that missed it when they
+# heard from each other first.
+REPORT_INTERVAL_S = 30.0
 
 
 class DomainBroadcasts:
@@ -52,8 +53,8 @@
         self._now = clock.now
         self._on_message = on_message
         self._send = send
-        self._features = encode(FeatureReport(view.name, incarnation, True))
-        self._features_sent_at = float("-inf")
+        self._report = encode(ForwarderReport(view.name, incarnation))
+        self._reported_at = float("-inf")
         # Incarnations of the VMs that forward broadcasts, by name.
         self._forwarders: dict[str, int] = {}
         self._turn = 0
@@ -99,27 +100,24 @@
                 self._send(broadcast.datagram, state.peers_at)
         self._on_message(message)
 
-    def on_features(self, report: FeatureReport) -> None:
-        """Record whether a VM forwards broadcasts."""
-        if report.forwards_broadcasts:
-            self._forwarders[report.name] = report.incarnation
-        else:
-            self._forwarders.pop(report.name, None)
+    def on_report(self, report: ForwarderReport) -> None:
+        """Record that a VM forwards broadcasts."""
+        self._forwarders[report.name] = report.incarnation
 
     def on_vm_up(self, state: VmState) -> None:
         """Tell a VM that started or returned that this one forwards broadcasts."""
         if self._is_in_other_domain(state):
-            self._send(self._features, state.peers_at)
+            self._send(self._report, state.peers_at)
 
     def step(self) -> None:
         """Repeat from time to time that this VM forwards broadcasts."""
         now = self._now()
-        if now - self._features_sent_at < FEATURE_INTERVAL_S:
+        if now - self._reported_at < REPORT_INTERVAL_S:
             return
-        self._features_sent_at = now
+        self._reported_at = now
         peers = self._view.known_peers()
         for state in filter(self._is_in_other_domain, peers):
-            self._send(self._features, state.peers_at)
+            self._send(self._report, state.peers_at)
         names = {state.name for state in peers}
         self._forwarders = {
             name: incarnation for name, incarnation in self._forwarders.items() if name in names
--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -11,9 +11,9 @@
 from hibiscushaven.fleet import (
     CrashReport,
     DomainBroadcast,
-    FeatureReport,
     FleetTransport,
     FleetView,
+    ForwarderReport,
     LinkReport,
     Message,
     RateLimitReport,
@@ -334,8 +334,8 @@
         if isinstance(message, DomainBroadcast):
             self._broadcasts.on_broadcast(message)
             return
-        if isinstance(message, FeatureReport):
-            self._broadcasts.on_features(message)
+        if isinstance(message, ForwarderReport):
+            self._broadcasts.on_report(message)
             return
         if isinstance(message, RegionDigest):
             self._on_digest(now, message)
--- a/src/hibiscushaven/gateway/tests/test_domain_broadcasts.py
+++ b/src/hibiscushaven/gateway/tests/test_domain_broadcasts.py
@@ -5,14 +5,14 @@
 from hibiscushaven.fleet import (
     CrashReport,
     DomainBroadcast,
-    FeatureReport,
     FleetView,
+    ForwarderReport,
     MessageError,
     RegionDigest,
     VmState,
 )
 from hibiscushaven.fleet.messages import decode, encode
-from hibiscushaven.gateway.domain_broadcasts import FEATURE_INTERVAL_S, DomainBroadcasts
+from hibiscushaven.gateway.domain_broadcasts import REPORT_INTERVAL_S, DomainBroadcasts
 from hibiscushaven.process.tests.support import VirtualClock
 
 DOMAINS = {"serra-a": 7, "serra-b": 4}
@@ -39,8 +39,8 @@
         message = decode(datagram)
         if isinstance(message, DomainBroadcast):
             self.broadcasts.on_broadcast(message)
-        elif isinstance(message, FeatureReport):
-            self.broadcasts.on_features(message)
+        elif isinstance(message, ForwarderReport):
+            self.broadcasts.on_report(message)
         else:
             self._on_message(message)
 
@@ -148,7 +148,7 @@
     )
     for name, vm in network.vms.items():
         remote.on_state(network.clock.now(), vm.state(2))
-        broadcasts.on_features(FeatureReport(name, 1, True))
+        broadcasts.on_report(ForwarderReport(name, 1))
     recipients = remote.remote_digest_recipients(network.clock.now())
     digest = RegionDigest("vale", "vale-0", 1, 1, {7: 2})
     broadcasts.send(encode(digest), recipients)
@@ -167,10 +167,10 @@
     assert [recipient for _, recipient in network.crossings] == [s.name for s in some[:2]]
 
 
-def test_features_are_repeated_from_time_to_time():
+def test_forwarders_report_themselves_from_time_to_time():
     """Guards against a VM that missed the report of another one and never learns of it."""
     network = Network()
-    network.clock.time += FEATURE_INTERVAL_S
+    network.clock.time += REPORT_INTERVAL_S
     network.vms["serra-b-0"].broadcasts.step()
     network.vms["serra-b-0"].broadcasts.step()
     assert len(network.crossings) == DOMAINS["serra-a"]
--- a/src/hibiscushaven/gateway/tests/test_node.py
+++ b/src/hibiscushaven/gateway/tests/test_node.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from hibiscushaven.discovery import KnownServer, RegistryUpdate
-from hibiscushaven.fleet import FeatureReport, VmState, token_of
+from hibiscushaven.fleet import ForwarderReport, VmState, token_of
 from hibiscushaven.forwarding.tests.support import make_route
 from hibiscushaven.gateway.node import NEWER_VERSION_LIFETIME_S
 from hibiscushaven.placement.admission import PlacementRequest
@@ -277,7 +277,7 @@
         name = f"vale-{number}"
         state = VmState(name, 1, 1, "vale", "vale-a", "10.0.0.2:80", f"{name}:1")
         node._on_message(state)
-        node._on_message(FeatureReport(name, 1, True))
+        node._on_message(ForwarderReport(name, 1))
     sent.clear()
     for _ in range(4):
         node._send_state_to_all()
