--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -170,6 +170,18 @@
             self.picker.rate_limits, self.view, clock, self._send_datagram
         )
         self.isolation_exchange = IsolationExchange(self.view, clock, self._send_datagram)
+        self._incarnation = random.getrandbits(31)
+        self._broadcasts = DomainBroadcasts(
+            self.view, self._incarnation, clock, self._on_message, self._send_datagram
+        )
+        # Messages that concern one exchange alone.
+        self._handlers: dict[type[Message], Callable[[Any], None]] = {
+            CrashReport: self.crash_exchange.on_report,
+            RateLimitReport: self.rate_limit_exchange.on_report,
+            LinkReport: self.isolation_exchange.on_report,
+            ForwarderReport: self._broadcasts.on_report,
+            DomainBroadcast: self._broadcasts.on_broadcast,
+        }
         self.links = LinkMonitor(
             self.registry,
             self.view.uptime,
@@ -180,10 +192,6 @@
         )
         self._census = VmCensus(options.name)
         self._operator = OperatorState()
-        self._incarnation = random.getrandbits(31)
-        self._broadcasts = DomainBroadcasts(
-            self.view, self._incarnation, clock, self._on_message, self._send_datagram
-        )
         self._sequence = 0
         self._digest_sequence = 0
         self._digest_bytes = 0
@@ -321,22 +329,11 @@
         _LOG.info("registered in the store", extra={"others": len(others) - 1})
 
     def _on_message(self, message: Message) -> None:
-        now = self._clock.now()
-        if isinstance(message, CrashReport):
-            self.crash_exchange.on_report(message)
-            return
-        if isinstance(message, RateLimitReport):
-            self.rate_limit_exchange.on_report(message)
-            return
-        if isinstance(message, LinkReport):
-            self.isolation_exchange.on_report(message)
-            return
-        if isinstance(message, DomainBroadcast):
-            self._broadcasts.on_broadcast(message)
-            return
-        if isinstance(message, ForwarderReport):
-            self._broadcasts.on_report(message)
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            handler(message)
             return
+        now = self._clock.now()
         if isinstance(message, RegionDigest):
             self._on_digest(now, message)
             return
