--- a/review/common/lab.py
+++ b/review/common/lab.py
@@ -300,6 +300,7 @@
 
     :ivar work_s: time that a request takes.
     :ivar runs: time and id of each request that it has begun to run.
+    :ivar received: id, method with target, and body of each of these.
     :ivar body_script: replaces the usual response of a request, if set.
     """
 
@@ -310,6 +311,7 @@
         self.sequence = 0
         self.born = int(time.time() * 1000)
         self.runs = []
+        self.received = []
         self.body_script = None
         self.work_of = None
         self._running = 0
@@ -416,7 +418,9 @@
         self._running += 1
         try:
             self.runs.append((time.monotonic(), request_id))
-            self.lab.record("run", server=self.id, id=request_id, request=f"{method} {target}")
+            self.received.append((request_id, f"{method} {target}", body))
+            self.lab.record("run", server=self.id, id=request_id, request=f"{method} {target}",
+                body=body.decode("latin-1")[:80])
             if self.body_script is not None:
                 await self.body_script(self, request_id, writer)
             else:
@@ -469,8 +473,14 @@
         if self.writer is not None:
             self.writer.transport.abort()
 
-    async def send(self, path, method="GET", body=b"", limit_s=4.0, headers=()):
-        """Send a request and return its answer; open the connection first if it is not."""
+    async def send(
+        self, path, method="GET", body=b"", limit_s=4.0, headers=(), body_delay_s=None
+    ):
+        """Send a request and return its answer; open the connection first if it is not.
+
+        :param body_delay_s: time between the writes of the head and the body; by default there
+            is one write.
+        """
         request_id = f"{random.getrandbits(64):016x}"
         lab = self.lab
         sent = time.monotonic()
@@ -490,7 +500,9 @@
         ]
         if body or method in ("POST", "PUT"):
             lines.append(f"Content-Length: {len(body)}")
-        answer = await self._exchange("\r\n".join(lines).encode() + b"\r\n\r\n" + body, limit_s)
+        head = "\r\n".join(lines).encode() + b"\r\n\r\n"
+        parts = (head + body,) if body_delay_s is None else (head, body)
+        answer = await self._exchange(parts, limit_s, body_delay_s or 0.0)
         lab.record(
             "answered",
             id=request_id,
@@ -504,12 +516,15 @@
             self.writer = None
         return request_id, answer
 
-    async def _exchange(self, raw, limit_s):
+    async def _exchange(self, parts, limit_s, delay_s):
         head = ""
         try:
             async with asyncio.timeout(limit_s):
-                self.writer.write(raw)
-                await self.writer.drain()
+                for number, part in enumerate(parts):
+                    if number:
+                        await asyncio.sleep(delay_s)
+                    self.writer.write(part)
+                    await self.writer.drain()
                 head = (await self.reader.readuntil(b"\r\n\r\n")).decode("latin-1")
                 status = int(head.split(" ")[1])
                 length = header(head, "Content-Length")
