--- a/review/5/case.py
+++ b/review/5/case.py
@@ -7,15 +7,20 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
-from lab import GRACE_S, LOSS_SLACK_S, STABLE_S, Connection, configuration, route, run  # noqa: E402
+from lab import GRACE_S, Connection, configuration, route, run  # noqa: E402
 
-WORK_S = 2.2  # mean work of `portfolio`
+# Site mehndi-uy-grown: `portfolio` works 2,640 ms in the mean, and has 6 s as its Timeout and 12 s
+# as the clients' time limit.
+WORK_S = 2.64
+TIMEOUT_MS = 6000
+LIMIT_S = 12.0
+STABLE_S = 4.0
+SILENCE_S = 8.0
 CLIENTS = 9
-SILENCE_S = 4.5
 
 
 async def case(lab):
-    exports = route("r", "/p/", "galeria", timeout_ms=6000, slo_ms=1500)
+    exports = route("r", "/p/", "galeria", timeout_ms=TIMEOUT_MS, slo_ms=1500)
     lab.operate("config", configuration(1, [exports], ["galeria"]))
     for number in range(8):
         zone = ("mvd-a", "mvd-b")[number % 2]
@@ -28,11 +33,11 @@
     async def client(number):
         # A client goes on with the directory's answer that it has ("some of them three times as
         # long"): it opens a new connection when the gateway closes the one that it has.
-        await asyncio.sleep(number * 2.2 / CLIENTS)
+        await asyncio.sleep(number * WORK_S / CLIENTS)
         connection = Connection(lab, stopping.host)
         while True:
             at = time.monotonic()
-            request_id, answer = await connection.send("/p/x", limit_s=12.0)
+            request_id, answer = await connection.send("/p/x", limit_s=LIMIT_S)
             sent[request_id] = at, time.monotonic(), answer
             if answer.why == "refused":
                 await asyncio.sleep(0.2)
@@ -63,7 +68,8 @@
         # the last sixth of Grace.
         if at - term_at <= 3.0 and run_at[request_id] + WORK_S >= term_at + GRACE_S * 5 / 6:
             continue
-        # It excuses the target only if it broke off, and the time limit if it was reached.
+        if ended_at - at >= TIMEOUT_MS / 1000:
+            continue
         lost.append((round(at - term_at, 2), round(ended_at - term_at, 2), repr(answer)))
     lab.record("lost", requests=lost)
     return bool(lost), f"(sent, ended) after SIGTERM of requests that were broken off: {lost}"
