--- a/review/common/lab.py
+++ b/review/common/lab.py
@@ -768,12 +768,17 @@
         try:
             async with asyncio.timeout(110), lab:
                 is_broken, summary = await case(lab)
-        except (CannotRun, TimeoutError, OSError) as error:
+        except Exception as error:
             lab.record("could not run", why=repr(error))
-            print("could not run:", repr(error))
-            return 2
+            raise CannotRun(repr(error)) from error
         lab.record("verdict", broken=is_broken, summary=summary)
         print("broken:" if is_broken else "held:", summary)
         return 1 if is_broken else 0
 
-    sys.exit(asyncio.run(play()))
+    try:
+        code = asyncio.run(play())
+    except Exception as error:
+        # An error of the script must not look like a broken rule, whose exit code is Python's own.
+        print("could not run:", error)
+        code = 2
+    sys.exit(code)
