Read the servers beside an entry that cannot be decoded

Cause: int() of a number beyond a double raises OverflowError, and json.loads of deep nesting RecursionError; the decoder listed neither, and the loop that reads the servers handled StoreError only, so that its task ended without a log line. Ruled out: a store that is lost and an entry that is ignored (neither was logged).

The decoder checks type and range of each field and reports any error of a row as DecodeError. Background loops run under keep_running, which logs an unexpected error and starts them again. On related paths a value that is not base64, a row of another part, a malformed address of a VM and messages with malformed addresses or numbers no longer end a read, the announcement or the steps of a node.

--- a/src/hibiscushaven/delivery/client.py
+++ b/src/hibiscushaven/delivery/client.py
@@ -13,6 +13,7 @@
 from yarl import URL
 
 from hibiscushaven.ini.fields import Endpoint
+from hibiscushaven.process import spawn
 
 from .attempts import AttemptRequest, AttemptResponse
 from .connection_pool import ConnectionPool, NotSentError, Transmission
@@ -205,7 +206,7 @@
         for key in [key for key, item in self._pools.items() if item is pool]:
             del self._pools[key]
         pool.close_idle()
-        task = asyncio.create_task(pool.retire())
+        task = spawn("closing of connections", pool.retire())
         self._retire_tasks.add(task)
         task.add_done_callback(self._retire_tasks.discard)
 
--- a/src/hibiscushaven/fleet/messages.py
+++ b/src/hibiscushaven/fleet/messages.py
@@ -1,13 +1,17 @@
 """Datagrams that VMs exchange: states of single VMs, and digests of whole regions."""
 
+import math
 import struct
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field, fields
+from functools import lru_cache
 from typing import Any
 
 import msgpack
 import xxhash
 
+from hibiscushaven.ini.fields import endpoint
+
 __all__ = [
     "CrashReport",
     "DomainBroadcast",
@@ -28,6 +32,13 @@
 
 _SINGLE = struct.Struct("<f")
 
+_ENDPOINT = endpoint()
+
+_NUMBERS = (int, float)
+
+# Versions are signed integers of 64 bits in messages, and never negative.
+_MAX_INTEGER = 2**63 - 1
+
 
 class MessageError(Exception):
     """Bytes that are not a valid message of this format."""
@@ -258,10 +269,16 @@
         value = getattr(message, item.name)
         if not isinstance(value, _allowed_types(_type_name(item.type))):
             raise MessageError(f"{item.name}: {value!r} is not of type {item.type}")
+        if not _is_in_range(value):
+            raise MessageError(f"{item.name}: {value!r} is out of range")
+    for name in ("callers_at", "peers_at"):
+        address = getattr(message, name, "")
+        if address and not _is_address(address):
+            raise MessageError(f"{name}: {address!r} is not an IP number and a port")
     for name in ("in_progress", "lost_server_ages_s", "arrivals", "sequences"):
         values = getattr(message, name, {})
         for token, value in values.items():
-            if not (isinstance(token, int) and isinstance(value, int | float)):
+            if not (isinstance(token, int) and _is_number(value)):
                 raise MessageError(f"{name}: {token!r}: {value!r} does not map an int to a number")
     for token, report in getattr(message, "slowness", {}).items():
         if not (isinstance(token, int) and _is_number_pair(report)):
@@ -272,7 +289,7 @@
             raise MessageError(f"crashes: {fingerprint!r}: {crashes!r} is not a list of crashes")
     for name in _TEXT_TO_NUMBER_FIELDS:
         for key, value in getattr(message, name, {}).items():
-            if not (isinstance(key, str) and isinstance(value, int | float)):
+            if not (isinstance(key, str) and _is_number(value)):
                 raise MessageError(f"{name}: {key!r}: {value!r} does not map a text to a number")
     if isinstance(message, RateLimitReport) and message.per_s.keys() != message.ages_s.keys():
         raise MessageError(f"per_s and ages_s name different servers: {sorted(message.per_s)!r}")
@@ -296,7 +313,27 @@
 
 def _is_number_pair(value: object) -> bool:
     is_pair = isinstance(value, list | tuple) and len(value) == 2
-    return is_pair and all(isinstance(item, int | float) for item in value)
+    return is_pair and all(map(_is_number, value))
+
+
+def _is_number(value: object) -> bool:
+    return isinstance(value, _NUMBERS) and math.isfinite(value)
+
+
+def _is_in_range(value: object) -> bool:
+    if isinstance(value, float):
+        return math.isfinite(value)
+    return not isinstance(value, int) or 0 <= value <= _MAX_INTEGER
+
+
+# More than the VMs of the largest deployment; each state names two addresses.
+@lru_cache(maxsize=1024)
+def _is_address(text: str) -> bool:
+    try:
+        _ENDPOINT.parse(text)
+    except ValueError:
+        return False
+    return True
 
 
 def _type_name(annotation: object) -> str:
--- a/src/hibiscushaven/fleet/sync.py
+++ b/src/hibiscushaven/fleet/sync.py
@@ -66,7 +66,7 @@
             base = None if base is None else int(base)
             servers = RegistryUpdate(int(version), by_id, base, frozenset(removed), int(checksum))
         return SyncResponse(operator, servers)
-    except (TypeError, ValueError, AttributeError) as error:
+    except (ArithmeticError, AttributeError, LookupError, TypeError, ValueError) as error:
         raise MessageError(f"malformed sync response: {error!r}") from error
 
 
--- a/src/hibiscushaven/fleet/tests/test_fleet.py
+++ b/src/hibiscushaven/fleet/tests/test_fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import random
 
 import pytest
@@ -235,3 +236,23 @@
         return message, receiver.malformed
 
     assert asyncio.run(run()) == (make_state(), 1)
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"peers_at": "10.0.0.2"},
+        {"peers_at": "10.0.0.2:99999"},
+        {"callers_at": "vm-2.example:80"},
+        {"servers_age_s": -math.inf},
+        {"operator_age_s": math.nan},
+        {"arrivals": {TOKEN: math.inf}},
+        {"slowness": {TOKEN: (100, math.nan)}},
+        {"servers_version": -1},
+        {"operator_version": 2**64 - 1},
+    ],
+)
+def test_state_with_a_value_out_of_range_is_rejected(fields):
+    """Guards against one message that makes each later send of a state fail."""
+    with pytest.raises(MessageError):
+        decode(encode(make_state(**fields)))
--- a/src/hibiscushaven/gateway/link_monitor.py
+++ b/src/hibiscushaven/gateway/link_monitor.py
@@ -4,12 +4,13 @@
 import logging
 import random
 from collections.abc import Awaitable, Callable, Mapping
+from functools import partial
 
 from hibiscushaven.discovery import Registry
 from hibiscushaven.fleet import UptimeProofs, token_of
 from hibiscushaven.ini.fields import Endpoint
 from hibiscushaven.metrics import Metrics
-from hibiscushaven.process import Clock
+from hibiscushaven.process import Clock, keep_running, spawn
 
 __all__ = ["LinkMonitor"]
 
@@ -165,7 +166,8 @@
         if is_isolated:
             _LOG.warning("links to all backend servers lost", extra=dict(details))
             if self.can_connect is not None:
-                self._probing = asyncio.create_task(self._probe(self.can_connect))
+                probe = partial(self._probe, self.can_connect)
+                self._probing = spawn("probes", keep_running("probes", probe))
         else:
             _LOG.info("links to backend servers regained")
             self.close()
--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -35,7 +35,7 @@
 from hibiscushaven.ini.fields import Endpoint
 from hibiscushaven.metrics import Metrics
 from hibiscushaven.placement import Picker, PickerOptions, ServerLoads, ServerNotice
-from hibiscushaven.process import Clock
+from hibiscushaven.process import Clock, keep_running, spawn
 from hibiscushaven.quarantine import CrashLedger
 from hibiscushaven.routing import OperatorState, ServiceOptions
 
@@ -266,12 +266,9 @@
         """
         await self._transport.start(self._options.peers_at)
         self._tasks = [
-            asyncio.create_task(loop)
-            for loop in (
-                self._start_reading(),
-                self._step_periodically(),
-                self._send_local_digests(),
-            )
+            spawn("start of the reads", self._start_reading()),
+            spawn("steps", keep_running("steps", self._step_periodically)),
+            spawn("digests", keep_running("digests", self._send_local_digests)),
         ]
 
     def apply_options(self, options: GatewayOptions) -> None:
@@ -317,7 +314,7 @@
 
     async def _start_reading(self) -> None:
         """Register this VM, and start to read the store after the peers had time to reply."""
-        announcement = asyncio.create_task(self._announce())
+        announcement = spawn("registration", keep_running("registration", self._announce))
         try:
             await asyncio.wait((announcement,), timeout=REGISTER_WAIT_S)
             await asyncio.sleep(PEER_REPLY_WAIT_S)
@@ -363,7 +360,8 @@
         if self._registered_era is None or era <= self._registered_era or self._is_leaving:
             return
         if self._registering is None or self._registering.done():
-            self._registering = asyncio.create_task(self._register_again())
+            registration = keep_running("registration", self._register_again)
+            self._registering = spawn("registration", registration)
 
     def _send_state_to_addresses(self, vms: Iterable[VmAddress]) -> None:
         state = encode(self._state())
--- a/src/hibiscushaven/gateway/puller.py
+++ b/src/hibiscushaven/gateway/puller.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable
 
 from hibiscushaven.fleet import MessageError, SyncResponse
-from hibiscushaven.process import Clock
+from hibiscushaven.process import Clock, spawn
 
 from .sync_reporter import SyncReporter
 
@@ -70,7 +70,7 @@
         if peer in self._tasks or (self._tasks and is_recent):
             return
         self._started_at = self._now()
-        task = asyncio.create_task(self.pull_from(peer, address))
+        task = spawn("pull", self.pull_from(peer, address))
         self._tasks[peer] = task
         task.add_done_callback(lambda _: self._tasks.pop(peer, None))
 
--- a/src/hibiscushaven/gateway/reader.py
+++ b/src/hibiscushaven/gateway/reader.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 
 from hibiscushaven.polling import RANK_DELAY_S, READ_INTERVAL_S, ReadSchedule
-from hibiscushaven.process import Clock
+from hibiscushaven.process import Clock, keep_running, spawn
 from hibiscushaven.routing import OperatorState
 
 from .ports import PlatformStore, ServerListing, StoreError
@@ -107,8 +107,11 @@
     def start(self) -> None:
         """Start the read loops."""
         self._started_at = self._now()
-        loops = (self._read_servers(), self._read_operator())
-        self._tasks = [asyncio.create_task(loop) for loop in loops]
+        loops = {"servers": self._read_servers, "operator": self._read_operator}
+        self._tasks = [
+            spawn(f"reads of {name}", keep_running(f"reads of {name}", loop))
+            for name, loop in loops.items()
+        ]
 
     async def close(self) -> None:
         """Stop the read loops."""
--- a/src/hibiscushaven/gateway/tests/test_reader.py
+++ b/src/hibiscushaven/gateway/tests/test_reader.py
@@ -1,6 +1,7 @@
 """When a VM reads the store, and how it handles failures of the store or of a peer."""
 
 import asyncio
+from functools import partial
 
 import pytest
 
@@ -72,6 +73,35 @@
     assert harness.listings and harness.operators
 
 
+async def _delayed(read, *arguments):
+    """Let the time of the event loop advance, as a call of the store does."""
+    await asyncio.sleep(CHECK_INTERVAL_S)
+    return await read(*arguments)
+
+
+@pytest.mark.parametrize("call", ["read_servers", "read_operator"])
+def test_reads_go_on_after_an_unexpected_error(call):
+    """Guards against a VM that never learns of a change again, without a line in the log."""
+    harness = ReaderHarness(clock=LoopClock())
+    harness.store.read_operator = partial(_delayed, harness.store.read_operator)
+    read, errors = getattr(harness.store, call), [RecursionError("nested too deeply")]
+
+    async def fail_once(*arguments):
+        if errors:
+            raise errors.pop()
+        return await read(*arguments)
+
+    setattr(harness.store, call, fail_once)
+
+    async def main():
+        harness.reader.start()
+        await asyncio.sleep(2.0)
+        await harness.reader.close()
+
+    run_virtual(main())
+    assert not errors and harness.listings and harness.operators
+
+
 def test_later_vm_without_data_waits_for_the_first_one():
     """Guards against a burst of reads when all VMs of a region start together."""
     harness = ReaderHarness(rank=3)
--- a/src/hibiscushaven/platform/decode.py
+++ b/src/hibiscushaven/platform/decode.py
@@ -1,5 +1,7 @@
 """Decoding of rows of the platform's metadata store into the product's types."""
 
+import json
+import math
 import re
 from collections.abc import Iterable, Mapping
 from typing import Any
@@ -15,20 +17,51 @@
     WeightedService,
 )
 
-__all__ = ["DecodeError", "decode_configuration", "decode_server", "parse_duration_s"]
+__all__ = [
+    "FIELD_ERRORS",
+    "DecodeError",
+    "decode_configuration",
+    "decode_server",
+    "parse_duration_s",
+    "parse_json",
+]
 
 _DURATION = re.compile(r"(-?[0-9]+(?:\.[0-9]+)?)(ms|s)")
 _VERSION = re.compile(r"r([0-9]+)")
 _ENDPOINT = endpoint()
 
-# Raised by Python for fields that are missing or of another type.
-_FIELD_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
+# Requests name a server's id in a header field.
+_SERVER_ID = re.compile(r"[!-~]{1,200}")
+
+# Largest integer that messages between VMs can carry.
+_MAX_INTEGER = 2**63 - 1
+
+# Raised by Python for fields that are missing, of another type or out of range.
+FIELD_ERRORS = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 
 
 class DecodeError(Exception):
     """A row is malformed."""
 
 
+def parse_json(content: bytes) -> Any:
+    """Return the value of a JSON text.
+
+    :raises DecodeError: when it is malformed, or nested too deeply.
+    """
+    try:
+        return json.loads(content)
+    except FIELD_ERRORS as error:
+        raise DecodeError(f"{content[:80]!r} is not valid JSON: {error!r}") from error
+
+
 def parse_duration_s(text: str) -> float:
     """Return a duration such as ``1500ms`` or ``2.5s`` in seconds.
 
@@ -42,7 +75,7 @@
     matched = _DURATION.fullmatch(text)
     if matched is None:
         raise ValueError(f"{text!r} is not a duration in ms or s")
-    return float(matched[1]) / (1000 if matched[2] == "ms" else 1)
+    return _checked_finite(float(matched[1])) / (1000 if matched[2] == "ms" else 1)
 
 
 def decode_configuration(body: Any) -> Configuration:
@@ -58,12 +91,12 @@
         services = [_decode_service(item) for item in _of_kind(resources, "Services")]
         limits = [_decode_limits(item["Spec"]) for item in _of_kind(resources, "Limits")]
         return Configuration(
-            int(version[1]),
+            _checked_integer(int(version[1]), 0),
             tuple(_decode_route(item) for item in _of_kind(resources, "Routes")),
             {service.name: service for service in services},
             limits[0] if limits else CallerLimits(),
         )
-    except _FIELD_ERRORS as error:
+    except FIELD_ERRORS as error:
         raise DecodeError(f"malformed configuration: {error!r}") from error
 
 
@@ -119,6 +152,8 @@
     :raises DecodeError: when it is malformed or its state is unknown.
     """
     try:
+        if _SERVER_ID.fullmatch(server_id) is None:
+            raise ValueError("the id is not printable ASCII")
         info, status = body["Info"], body["Status"]
         state = status["State"]
         if state not in ("ready", "draining"):
@@ -131,21 +166,40 @@
             slots=_checked_count(info["Concurrency"]),
             is_leaving=state == "draining",
             cold_left_s=max(0.0, parse_duration_s(status.get("WarmupLeft", "0ms"))),
-            started_unix_ms=int(body.get("born", 0)),
+            started_unix_ms=_checked_start_ms(body.get("born", 0)),
         )
-    except _FIELD_ERRORS as error:
+    except FIELD_ERRORS as error:
         raise DecodeError(f"malformed backend server {server_id!r}: {error!r}") from error
 
 
 def _checked_name(value: Any) -> str:
     if not isinstance(value, str) or not value:
         raise ValueError(f"{value!r} is not a non-empty string")
+    # Lone surrogates, which JSON allows, cannot be sent to other VMs.
+    value.encode()
     return value
 
 
 def _checked_count(value: Any) -> int:
-    if not isinstance(value, int) or isinstance(value, bool) or value < 1:
-        raise ValueError(f"{value!r} is not a positive integer")
+    return _checked_integer(value, 1)
+
+
+def _checked_start_ms(value: Any) -> int:
+    # JSON encoders may write a whole number with an exponent or a fraction of zero.
+    is_whole = isinstance(value, float) and value.is_integer()
+    return _checked_integer(int(value) if is_whole else value, 0)
+
+
+def _checked_integer(value: Any, minimum: int) -> int:
+    is_integer = isinstance(value, int) and not isinstance(value, bool)
+    if not is_integer or not minimum <= value <= _MAX_INTEGER:
+        raise ValueError(f"{value!r} is not an integer from {minimum} to {_MAX_INTEGER}")
+    return value
+
+
+def _checked_finite(value: float) -> float:
+    if not math.isfinite(value):
+        raise ValueError(f"{value} is not finite")
     return value
 
 
--- a/src/hibiscushaven/platform/program.py
+++ b/src/hibiscushaven/platform/program.py
@@ -9,7 +9,7 @@
 from hibiscushaven.gateway.settings import GatewaySettings
 from hibiscushaven.gateway.settings_watch import SettingsWatch
 from hibiscushaven.logs import BoundedHandler, configure_logging
-from hibiscushaven.process import SystemClock, on_stop
+from hibiscushaven.process import SystemClock, keep_running, on_stop, spawn
 
 from .dialects import PlatformBackends, PlatformCallers, PlatformDirectory
 from .store import StoreClient
@@ -45,7 +45,7 @@
     watch = SettingsWatch(path, settings, apply_settings)
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, watch.reload)
     await daemon.start()
-    watching = asyncio.create_task(watch.run())
+    watching = spawn("settings", keep_running("watch of the settings", watch.run))
     # Objects allocated at the start live as long as the process; later collections skip them.
     gc.collect()
     gc.freeze()
--- a/src/hibiscushaven/platform/store.py
+++ b/src/hibiscushaven/platform/store.py
@@ -3,11 +3,10 @@
 import asyncio
 import base64
 import binascii
-import json
 import logging
 import re
 import socket
-from collections.abc import Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -16,11 +15,17 @@
 from hibiscushaven.discovery import ServerRecord
 from hibiscushaven.eras import MAX_ERA, era_of, number_of, version_of
 from hibiscushaven.gateway import ServerListing, StoreError, VmAddress
-from hibiscushaven.ini.fields import Endpoint
+from hibiscushaven.ini.fields import Endpoint, endpoint
 from hibiscushaven.process import socket_factory
 from hibiscushaven.routing import Configuration, OperatorState
 
-from .decode import DecodeError, decode_configuration, decode_server
+from .decode import (
+    FIELD_ERRORS,
+    DecodeError,
+    decode_configuration,
+    decode_server,
+    parse_json,
+)
 
 __all__ = ["StoreClient"]
 
@@ -50,6 +55,8 @@
 _ERA_HEADER = "Store-Era"
 _ERA = re.compile(r"[0-9]{1,7}")
 
+_ENDPOINT = endpoint()
+
 
 class _ChangesUnknownError(StoreError):
     """The store does not have all changes since the last read, or counts in another era."""
@@ -151,7 +158,7 @@
 
     async def list_vms(self) -> tuple[VmAddress, ...]:
         rows, _ = await self._read_all(_VMS_TABLE)
-        return tuple(VmAddress(key, value.decode("latin-1")) for key, value in rows.items())
+        return tuple(_decode_vms(rows))
 
     async def close(self) -> None:
         if self._session is not None:
@@ -183,14 +190,14 @@
             raise _ChangesUnknownError(f"last read in era {era_of(after)}, now era {era}")
         try:
             rows = {
-                row["Key"]: (
+                _key_of(row): (
                     None if row.get("Deleted") else _decode_value(row),
                     version_of(era, int(row["Ver"])),
                 )
-                for row in body["Rows"]
+                for row in _of_empty_part(body["Rows"])
             }
             return rows, version_of(era, int(body["Ver"]))
-        except (KeyError, TypeError, ValueError) as error:
+        except FIELD_ERRORS as error:
             raise StoreError(f"malformed changes of table {table!r}: {error!r}") from error
 
     async def _read_all(self, table: str) -> tuple[dict[str, bytes], int]:
@@ -205,12 +212,12 @@
             if version and era != era_of(version):
                 raise StoreError(f"era changed during the read of table {table!r}")
             try:
-                page = {row["Key"]: _decode_value(row) for row in body["Rows"]}
+                page = {_key_of(row): _decode_value(row) for row in _of_empty_part(body["Rows"])}
                 # Later pages may be newer. The version of the first page makes the next
                 # ``_read_changes`` return all changes since then.
                 version = version or version_of(era, int(body["Ver"]))
                 has_more = bool(body["HasMore"])
-            except (KeyError, TypeError, ValueError) as error:
+            except FIELD_ERRORS as error:
                 raise StoreError(f"malformed rows of table {table!r}: {error!r}") from error
             rows |= page
             if not has_more or not page:
@@ -243,8 +250,8 @@
                     raise _ChangesUnknownError(f"{path}: change history expired")
                 if response.status != 200:
                     raise StoreError(f"{path}: status {response.status}")
-                return json.loads(content), self._accept_era(response.headers.get(_ERA_HEADER))
-        except (aiohttp.ClientError, OSError, ValueError) as error:
+                return parse_json(content), self._accept_era(response.headers.get(_ERA_HEADER))
+        except (aiohttp.ClientError, OSError, ValueError, DecodeError) as error:
             # TimeoutError is an OSError.
             raise StoreError(f"{path}: {error!r}") from error
 
@@ -325,31 +332,48 @@
     if value is None:
         return known
     try:
-        return decode_configuration(_parse_json(value))
+        return decode_configuration(parse_json(value))
     except DecodeError as error:
         _LOG.error("malformed configuration ignored", extra={"why": str(error)})
         return known
 
 
+def _of_empty_part(rows: Iterable[Mapping[str, Any]]) -> Iterator[Mapping[str, Any]]:
+    """Return the rows of the empty part, since a feed has those of all parts of its table."""
+    return (row for row in rows if row.get("part", "") == "")
+
+
+def _key_of(row: Mapping[str, Any]) -> str:
+    key = row["Key"]
+    if not isinstance(key, str):
+        raise ValueError(f"key {key!r} is not a text")
+    return key
+
+
 def _decode_value(row: Mapping[str, Any]) -> bytes:
+    """Return the value of a row; an unreadable one is empty, which no decoder accepts."""
     try:
         return base64.b64decode(row["Value"])
-    except (binascii.Error, TypeError) as error:
-        raise ValueError(f"value of row {row['Key']!r} is not valid base64") from error
+    except (binascii.Error, KeyError, TypeError, ValueError) as error:
+        _LOG.warning("unreadable value of a row", extra={"key": _key_of(row), "why": repr(error)})
+        return b""
+
+
+def _decode_vms(rows: Mapping[str, bytes]) -> Iterator[VmAddress]:
+    for name, value in rows.items():
+        try:
+            yield VmAddress(name, str(_ENDPOINT.parse(value.decode("ascii"))))
+        except ValueError as error:
+            _LOG.warning(
+                "malformed address of a VM ignored", extra={"vm": name, "why": repr(error)}
+            )
 
 
 def _decode_record(key: str, value: bytes | None) -> ServerRecord | None:
     if value is None:
         return None
     try:
-        return decode_server(key, _parse_json(value))
+        return decode_server(key, parse_json(value))
     except DecodeError as error:
         _LOG.warning("malformed backend server record ignored", extra={"why": str(error)})
         return None
-
-
-def _parse_json(value: bytes) -> Any:
-    try:
-        return json.loads(value)
-    except ValueError as error:
-        raise DecodeError(f"{value[:80]!r} is not valid JSON") from error
--- a/src/hibiscushaven/platform/tests/store_standin.py
+++ b/src/hibiscushaven/platform/tests/store_standin.py
@@ -44,6 +44,8 @@
     :ivar faults: faults of the next calls, one each.
     :ivar calls: names of the calls so far.
     :ivar late_writes: writes that are applied later, whose connections were reset.
+    :ivar raw_values: values of rows as they are sent, by key, in place of their base64.
+    :ivar part: part that the rows of the feeds name.
     :ivar era: 1, and one more after each restore; named by no response if it is ``None``.
     """
 
@@ -55,6 +57,8 @@
         self.faults = deque()
         self.calls = []
         self.late_writes = []
+        self.raw_values = {}
+        self.part = ""
         self.port = 0
         self._runner = None
         self._changed = asyncio.Event()
@@ -154,7 +158,7 @@
             for (name, key), (raw, version) in self.rows.items()
             if name == table and key >= start
         )
-        rows = [_encode_row(table, key, raw, version) for key, raw, version in matches[:limit]]
+        rows = [self._encode_row(table, key, raw, version) for key, raw, version in matches[:limit]]
         return self._respond({"Rows": rows, "HasMore": len(matches) > limit})
 
     async def _rows_feed(self, request):
@@ -167,7 +171,8 @@
             changes = {}
             for version, name, key, raw in self.log:
                 if name == table and version > after:
-                    changes[key] = _encode_row(table, key, raw, version)
+                    row = self._encode_row(table, key, raw, version)
+                    changes[key] = {**row, "part": self.part}
             if changes or loop.time() >= deadline:
                 return self._respond({"Rows": list(changes.values())})
             with contextlib.suppress(TimeoutError):
@@ -177,9 +182,9 @@
     def _respond(self, body):
         return web.json_response({**body, "Ver": self.version, "Now": "1ms"})
 
-
-def _encode_row(table, key, raw, version):
-    row = {"Table": table, "part": "", "Key": key, "Ver": version}
-    if raw is None:
-        return {**row, "Deleted": True}
-    return {**row, "Value": base64.b64encode(raw).decode()}
+    def _encode_row(self, table, key, raw, version):
+        row = {"Table": table, "part": "", "Key": key, "Ver": version}
+        if raw is None:
+            return {**row, "Deleted": True}
+        value = base64.b64encode(raw).decode()
+        return {**row, "Value": self.raw_values.get(key, value)}
--- a/src/hibiscushaven/platform/tests/test_decode.py
+++ b/src/hibiscushaven/platform/tests/test_decode.py
@@ -4,13 +4,18 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hibiscushaven.platform.decode import DecodeError, decode_configuration, decode_server
+from hibiscushaven.platform.decode import (
+    DecodeError,
+    decode_configuration,
+    decode_server,
+    parse_json,
+)
 from hibiscushaven.routing import RequestKind, WeightedService
 
 from .samples import configuration_row, route_item, server_row
 
 json_values = st.recursive(
-    st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
     lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=5), inner),
     max_leaves=8,
 )
@@ -72,3 +77,36 @@
     """Guards against requests to a server with an invalid record."""
     with pytest.raises(DecodeError):
         decode_server("s1", {**server_row(), **change})
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        b'{"born": 1e999}',
+        b'{"born": -1}',
+        b'{"born": 1.5}',
+        b'{"born": true}',
+        b'{"born": 1' + 30 * b"0" + b"}",
+        b'{"Info": {"Service": "\\ud800", "Zone": "z", "Concurrency": 4}}',
+        b'{"Info": {"Service": "s", "Zone": "z", "Concurrency": 1' + 30 * b"0" + b"}}",
+        b'{"Status": {"State": "ready", "WarmupLeft": "' + 400 * b"9" + b's"}}',
+        4096 * b"[",
+        b"9" * 5000,
+    ],
+)
+def test_unreadable_server_raises_only_decode_error(text):
+    """Guards against an entry of another writer whose error ends all reads of the servers."""
+    with pytest.raises(DecodeError):
+        decode_server("s1", {**server_row(), **parse_json(text)})
+
+
+@pytest.mark.parametrize("server_id", ["a\r\nb", "\ud800", "\xe9", " ", ""])
+def test_server_whose_id_cannot_be_sent_is_rejected(server_id):
+    """Guards against requests whose header fields cannot be written."""
+    with pytest.raises(DecodeError):
+        decode_server(server_id, server_row())
+
+
+def test_start_time_may_be_a_whole_number_with_an_exponent():
+    """Guards against servers that are left out for the form of their start time."""
+    assert decode_server("s1", {**server_row(), "born": 1.7e12}).started_unix_ms == 1700000000000
--- a/src/hibiscushaven/platform/tests/test_gateway.py
+++ b/src/hibiscushaven/platform/tests/test_gateway.py
@@ -1,6 +1,7 @@
 """Whole gateway on loopback, with stand-ins for the store and a backend server."""
 
 import asyncio
+import math
 import random
 import socket
 from dataclasses import replace
@@ -398,3 +399,22 @@
         await deployment.daemon.stop()
 
     run(scenario)
+
+
+@pytest.mark.parametrize(
+    "entry", [{**server_row(), "born": math.inf}, 4096 * b"["], ids=["number", "nested"]
+)
+def test_servers_are_read_beside_an_unreadable_entry(entry):
+    """Guards against requests to servers that left after another writer's entry appeared."""
+
+    async def scenario(deployment):
+        store, registry = deployment.store, deployment.daemon.node.registry
+        store.put("servers", "other", entry)
+        store.put("servers", "i-2", server_row(address="127.0.0.1:1"))
+        await wait_until(lambda: "i-2" in registry.servers)
+        store.delete("servers", "i-2")
+        await wait_until(lambda: "i-2" not in registry.servers)
+        other = await deployment.start_other_gateway()
+        await asyncio.gather(deployment.daemon.stop(), other.stop())
+
+    run(scenario)
--- a/src/hibiscushaven/platform/tests/test_store.py
+++ b/src/hibiscushaven/platform/tests/test_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 
 import pytest
 
@@ -82,6 +83,58 @@
     run(scenario)
 
 
+UNREADABLE_ROWS = {
+    "number": ({**server_row(), "born": math.inf}, {}),
+    "nested": (4096 * b"[", {}),
+    "not base64": (server_row(), {"bad": "A"}),
+    "no value": (server_row(), {"bad": None}),
+}
+
+
+@pytest.mark.parametrize(("row", "raw_values"), UNREADABLE_ROWS.values(), ids=UNREADABLE_ROWS)
+@pytest.mark.parametrize("is_first", [True, False], ids=["complete read", "changes"])
+def test_unreadable_row_does_not_end_the_reads(row, raw_values, is_first):
+    """Guards against an entry of another writer after which no change is read any more."""
+
+    async def scenario(stand_in, client):
+        stand_in.put("servers", "s1", server_row())
+        if not is_first:
+            await client.read_servers()
+        stand_in.put("servers", "bad", row)
+        stand_in.raw_values = raw_values
+        assert await read_ids(client) == {"s1"}
+        stand_in.delete("servers", "s1")
+        stand_in.put("servers", "s2", server_row())
+        assert await read_ids(client) == {"s2"}
+
+    run(scenario)
+
+
+def test_rows_of_other_parts_are_ignored():
+    """Guards against an entry of another part that replaces the record of a server."""
+
+    async def scenario(stand_in, client):
+        stand_in.put("servers", "s1", server_row())
+        await client.read_servers()
+        stand_in.put("servers", "s1", server_row(state="draining"))
+        stand_in.part = "other"
+        (record,) = (await client.read_servers()).records
+        assert not record.is_leaving
+
+    run(scenario)
+
+
+def test_malformed_address_of_a_vm_is_ignored():
+    """Guards against a row that keeps a VM from announcing itself to the others."""
+
+    async def scenario(stand_in, client):
+        stand_in.put("vms", "vm-1", b"nowhere")
+        stand_in.put("vms", "vm-2", b"10.0.0.2:7000")
+        assert await client.list_vms() == (VmAddress("vm-2", "10.0.0.2:7000"),)
+
+    run(scenario)
+
+
 def test_rows_of_all_pages_are_read(monkeypatch):
     """Guards against losing the rows after the first page."""
     monkeypatch.setattr(store_module, "PAGE_ROWS", 3)
--- a/src/hibiscushaven/process/__init__.py
+++ b/src/hibiscushaven/process/__init__.py
@@ -1,9 +1,19 @@
 """Process-level facilities of daemons: clocks, signals, sockets and HTTP servers."""
 
+from .background import keep_running, spawn
 from .caller_protocol import ConnectionLimits
 from .clock import Clock, SystemClock
 from .server import HttpServer
 from .signals import on_stop
 from .sockets import socket_factory
 
-__all__ = ["Clock", "ConnectionLimits", "HttpServer", "SystemClock", "on_stop", "socket_factory"]
+__all__ = [
+    "Clock",
+    "ConnectionLimits",
+    "HttpServer",
+    "SystemClock",
+    "keep_running",
+    "on_stop",
+    "socket_factory",
+    "spawn",
+]
--- a/src/hibiscushaven/quarantine/detector.py
+++ b/src/hibiscushaven/quarantine/detector.py
@@ -10,6 +10,7 @@
 from hibiscushaven.discovery import ServerRecord
 from hibiscushaven.ini.fields import Endpoint
 from hibiscushaven.metrics import Metrics
+from hibiscushaven.process import spawn
 
 from .crashes import CrashLedger
 from .suspects import CrashSuspects
@@ -141,7 +142,7 @@
 
     def _start_confirmation(self, server: ServerRecord) -> None:
         is_urgent = asyncio.Event()
-        task = asyncio.create_task(self._confirm(server, is_urgent))
+        task = spawn("crash confirmation", self._confirm(server, is_urgent))
         self._confirmations[server.process_id] = _Confirmation(is_urgent, task)
         task.add_done_callback(lambda _: self._confirmations.pop(server.process_id, None))
 
