Let each VM decide whether the store had an outage

Cause: after an outage of the store, missing records are kept for 2 s. The VM took its own pause for an outage, and kept the servers under the newest version, which the others adopted as newer data. Ruled out: data of an older version, and old data at the other VMs.

A VM now keeps a server without a record only after an outage that it saw itself; updates of peers do not bring one back. Pauses of the own process are detected and do not count, also not as silence of other VMs or failures of servers. The second reader after a real outage no longer drops what the first one kept.

--- a/src/hibiscushaven/delivery/client.py
+++ b/src/hibiscushaven/delivery/client.py
@@ -30,6 +30,10 @@
 _CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 _MAX_CONTROL_RESPONSE_BYTES = 16 * 1024
 _DEFAULT_CONNECTIONS = 64
+
+# Lateness of a time limit above which this process was paused, so that the limit says nothing about
+# the server.
+MAX_TIMER_LAG_S = 0.5
 _NOT_FOUND = 404
 # Set by the client itself; values supplied by a caller could contradict them.
 _CLIENT_HEADERS = frozenset({"content-length", "expect"})
@@ -155,11 +159,18 @@
             return None
 
     async def can_connect(self, server: Endpoint) -> bool:
-        """Return whether a connection to the server can be opened; it is closed at once."""
+        """Return whether a connection to the server can be opened; it is closed at once.
+
+        A probe in which this process was paused is repeated.
+        """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + self._timeouts.control_s
         try:
-            async with asyncio.timeout(self._timeouts.control_s):
+            async with asyncio.timeout_at(deadline):
                 _, writer = await asyncio.open_connection(server.host, server.port)
         except (TimeoutError, OSError) as error:
+            if loop.time() - deadline > MAX_TIMER_LAG_S:
+                return await self.can_connect(server)
             _LOG.debug(
                 "backend server cannot be reached",
                 extra={"server": str(server), "why": repr(error)},
@@ -210,6 +221,13 @@
         self._retire_tasks.add(task)
         task.add_done_callback(self._retire_tasks.discard)
 
+    def _longest_wait_s(self, request: AttemptRequest, transmission: Transmission) -> float:
+        """Return the time after which only a pause of this process explains an expired limit."""
+        limit_s = self._timeouts.connect_s
+        if transmission.is_sent:
+            limit_s += request.head_timeout_s or self._timeouts.progress_s
+        return limit_s + MAX_TIMER_LAG_S
+
     async def _on_response_end(self, pool: ConnectionPool, kind: FailureKind | None) -> None:
         """Release the connection of a response that ended."""
         # The connection of a complete response returns to the pool before the attempt id is
@@ -225,6 +243,7 @@
         request: AttemptRequest,
         transmission: Transmission,
     ) -> aiohttp.ClientResponse:
+        started = asyncio.get_running_loop().time()
         try:
             async with asyncio.timeout_at(request.deadline):
                 return await _send_on_session(
@@ -232,6 +251,12 @@
                 )
         except BaseException as error:
             kind = _classify_error(error, transmission)
+            elapsed_s = asyncio.get_running_loop().time() - started
+            if isinstance(error, TimeoutError) and elapsed_s > self._longest_wait_s(
+                request, transmission
+            ):
+                sent, unsent = FailureKind.DEADLINE, FailureKind.DEADLINE_BEFORE_SENDING
+                kind = sent if transmission.is_sent else unsent
             is_possibly_dead = kind is FailureKind.DEADLINE and transmission.is_reused
             if kind is FailureKind.SILENT or is_possibly_dead:
                 self._retire_pool(pool)
--- a/src/hibiscushaven/delivery/tests/test_client.py
+++ b/src/hibiscushaven/delivery/tests/test_client.py
@@ -1,6 +1,7 @@
 """Attempts of the backend client over loopback sockets."""
 
 import asyncio
+from collections.abc import Callable
 
 import pytest
 
@@ -10,6 +11,9 @@
 
 from .support import HOST, backend_env, deadline_in, in_loop, raw_server
 
+# Longer than each time limit of an attempt.
+PAUSE_S = 5.0
+
 
 @in_loop
 async def test_redirect_is_not_followed() -> None:
@@ -114,6 +118,54 @@
         assert forwarder.bytes_to_server == 0
 
 
+@pytest.fixture
+def pause(monkeypatch: pytest.MonkeyPatch) -> Callable[[], None]:
+    """Return a function after which the event loop is as after a pause of the process."""
+
+    def pause_process() -> None:
+        loop = asyncio.get_running_loop()
+        now = loop.time
+        monkeypatch.setattr(loop, "time", lambda: now() + PAUSE_S)
+
+    return pause_process
+
+
+@in_loop
+async def test_pause_of_this_process_is_no_failure_of_the_server(
+    pause: Callable[[], None], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a server that is taken for unreachable since this process did not run."""
+
+    async def connect_never(*args: object) -> None:
+        pause()
+        await asyncio.Event().wait()
+
+    async with backend_env(connect_s=0.35) as env:
+        loop = asyncio.get_running_loop()
+        monkeypatch.setattr(loop, "sock_connect", connect_never)
+        with pytest.raises(AttemptError) as caught:
+            await env.send("/a", deadline=deadline_in(2 * PAUSE_S))
+        assert caught.value.kind is FailureKind.DEADLINE_BEFORE_SENDING
+
+
+@in_loop
+async def test_probe_is_repeated_after_a_pause_of_this_process(
+    pause: Callable[[], None], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a probe that takes an own pause for the crash of a server."""
+    async with backend_env() as env:
+        loop = asyncio.get_running_loop()
+        connect = loop.sock_connect
+
+        async def connect_never(*args: object) -> None:
+            monkeypatch.setattr(loop, "sock_connect", connect)
+            pause()
+            await asyncio.Event().wait()
+
+        monkeypatch.setattr(loop, "sock_connect", connect_never)
+        assert await env.client.can_connect(env.server)
+
+
 @in_loop
 async def test_guard_refuses_after_waiting_for_a_connection() -> None:
     """Guards against checking the guard only before the wait for a free connection."""
--- a/src/hibiscushaven/discovery/registry.py
+++ b/src/hibiscushaven/discovery/registry.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
 from functools import lru_cache
+from typing import Self
 
 import xxhash
 
@@ -64,6 +65,17 @@
     removed: frozenset[str] = frozenset()
     checksum: int = 0
 
+    def without_expiring(self) -> Self:
+        """Return the update with servers in their grace period removed.
+
+        The checksum stays valid, since it leaves them out.
+        """
+        expiring = {name for name, server in self.servers.items() if server.expires_at is not None}
+        if not expiring:
+            return self
+        kept = {name: self.servers[name] for name in self.servers.keys() - expiring}
+        return replace(self, servers=kept, removed=self.removed | expiring)
+
 
 class Registry:
     """Backend servers, merged from reads of the store and updates of peers.
@@ -78,7 +90,8 @@
 
     A record that is missing after an outage of the store is kept for a grace period, since its
     server may only have been unable to renew it. A shorter gap between two reads is no outage:
-    this VM may have had no news from its peers, and a record that is missing was removed.
+    this VM may have had no news from its peers, and a record that is missing was removed. Each VM
+    decides for itself whether there was an outage, by what it heard of reads meanwhile.
 
     A store that comes back from a copy begins another era. It lacks the records that were written
     since the copy, which are kept for a grace period as well.
@@ -119,16 +132,37 @@
         """
         if version < self.version:
             return False
-        if gap_s > self._outage_threshold_s and self._servers:
-            self.begin_grace(now)
+        self.on_confirmation(now, gap_s)
         by_id = {record.server_id: record for record in records}
         missing = [server_id for server_id in self._servers if server_id not in by_id]
         return self._merge(now, version, by_id, missing)
 
+    def on_confirmation(self, now: float, gap_s: float) -> None:
+        """Begin a grace period if a read that confirms the servers follows an outage of the store.
+
+        :param gap_s: time since the previous read by any VM, in seconds.
+        """
+        if gap_s > self._outage_threshold_s and self._servers:
+            self.begin_grace(now)
+
     def begin_grace(self, now: float) -> None:
         """Keep the servers whose records are missing for a grace period from now on."""
         self._grace_ends_at = now + EXPIRY_GRACE_S
 
+    def accepted_part(self, now: float, update: RegistryUpdate) -> RegistryUpdate:
+        """Return a peer's update without the servers that this VM has no reason to keep.
+
+        Explanation
+        ===========
+
+        A server without a record is kept after an outage of the store. The sender may have taken
+        its own pause or the failure of its links for one, while this VM had news all the time.
+        Only a VM that knows of no servers yet relies on the sender.
+        """
+        if now < self._grace_ends_at or not self.version:
+            return update
+        return update.without_expiring()
+
     def is_of_later_era(self, version: int) -> bool:
         """Return whether the store has been restored from a copy since this registry's version."""
         return self.version > 0 and era_of(version) > era_of(self.version)
--- a/src/hibiscushaven/fleet/view.py
+++ b/src/hibiscushaven/fleet/view.py
@@ -195,6 +195,16 @@
         _add(self._remote_in_progress, digest.in_progress, 1)
         return True
 
+    def resume(self, pause_s: float) -> None:
+        """Don't count a pause of this process as silence of the other VMs and regions."""
+        for peer in self._peers.values():
+            peer.last_seen_at += pause_s
+        self._remote_digests = {
+            region: (digest, received_at + pause_s)
+            for region, (digest, received_at) in self._remote_digests.items()
+        }
+        self.aggregate.received_at += pause_s
+
     def expire(self, now: float) -> list[str]:
         """Discard the loads of VMs and regions that timed out.
 
--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -35,7 +35,7 @@
 from hibiscushaven.ini.fields import Endpoint
 from hibiscushaven.metrics import Metrics
 from hibiscushaven.placement import Picker, PickerOptions, ServerLoads, ServerNotice
-from hibiscushaven.process import Clock, keep_running, spawn
+from hibiscushaven.process import Clock, PauseDetector, keep_running, spawn
 from hibiscushaven.quarantine import CrashLedger
 from hibiscushaven.routing import OperatorState, ServiceOptions
 
@@ -163,6 +163,7 @@
         metrics = metrics or Metrics()
         self._transport = FleetTransport(clock.now, self._on_message, self._make_sync_response)
         self._reporter = SyncReporter(metrics)
+        self._pauses = PauseDetector(clock.now, DIGEST_INTERVAL_S, self.view.resume)
         self._reader = StoreReader(
             store,
             clock,
@@ -172,6 +173,7 @@
             self._adopt_operator,
             self._send_state_to_region,
             self._reporter,
+            lambda: self._pauses.resumed_at,
         )
         self._puller = PeerPuller(
             self._pull, clock, self._reporter, self._on_sync_response, self._on_pull_delay
@@ -369,6 +371,7 @@
             self._transport.send(state, vm.peers_at)
 
     def _on_message(self, message: Message) -> None:
+        self._pauses.check()
         handler = self._handlers.get(type(message))
         if handler is not None:
             handler(message)
@@ -408,7 +411,7 @@
         if state.operator_version == self._operator.version:
             self._reader.confirm_operator(now - state.operator_age_s)
         if state.servers_version == self.registry.version:
-            self._reader.confirm_servers(now - state.servers_age_s)
+            self._confirm_servers(now, now - state.servers_age_s)
         self._newest_operator_version = max(self._newest_operator_version, state.operator_version)
         if state.servers_version > self._newest_servers_version:
             self._newest_servers_version = state.servers_version
@@ -422,6 +425,12 @@
         if is_peer_newer:
             self._puller.start(name, state.peers_at)
 
+    def _confirm_servers(self, now: float, read_at: float) -> None:
+        """Record a read by any VM that returned the backend servers known here."""
+        if read_at > self._reader.servers_confirmed_at:
+            self.registry.on_confirmation(now, self._reader.servers_gap_s(read_at))
+            self._reader.confirm_servers(read_at)
+
     async def _pull(self, address: str, timeout_s: float) -> SyncResponse:
         """Fetch the data from a peer that is newer than that of this VM."""
         return await self._transport.pull(
@@ -462,8 +471,11 @@
 
     def _adopt_servers(self, update: RegistryUpdate, source: str) -> None:
         """Apply a peer's update of the backend servers if it is newer and consistent."""
-        self._check_servers_era(self._clock.now(), update.version, source)
-        if self.registry.apply_update(update):
+        now = self._clock.now()
+        self._check_servers_era(now, update.version, source)
+        if update.version > self.registry.version:
+            self.registry.on_confirmation(now, self._reader.servers_gap_s(now))
+        if self.registry.apply_update(self.registry.accepted_part(now, update)):
             self._has_diverged = False
             if update.version >= self._newest_servers_version:
                 # The read that confirmed the announced version came before that of a later one.
@@ -699,6 +711,7 @@
 
     async def _step_periodically(self) -> None:
         while True:
+            self._pauses.step()
             started = self._clock.now()
             await asyncio.sleep(DIGEST_INTERVAL_S)
             now = self._clock.now()
--- a/src/hibiscushaven/gateway/reader.py
+++ b/src/hibiscushaven/gateway/reader.py
@@ -59,6 +59,7 @@
     :param on_availability_change: called when the store becomes unavailable or available to this
         VM, so that the VMs of the region can update their ranks.
     :param reporter: counts the reads.
+    :param resumed_at: returns the end of the latest pause of this process.
     """
 
     def __init__(
@@ -71,7 +72,9 @@
         on_operator: Callable[[OperatorState, str], None],
         on_availability_change: Callable[[], None],
         reporter: SyncReporter,
+        resumed_at: Callable[[], float] = lambda: _NEVER,
     ) -> None:
+        self._resumed_at = resumed_at
         self._store = store
         self._now = clock.now
         self._reader_rank = rank
@@ -104,6 +107,15 @@
         """Time of the latest read by any VM that returned the backend servers known here."""
         return self._servers_confirmed_at
 
+    def servers_gap_s(self, now: float) -> float:
+        """Return the time since a read confirmed the servers known here; 0 before the first one.
+
+        Pauses of this process do not count, since others may have read the store meanwhile.
+        """
+        if self._servers_confirmed_at == _NEVER:
+            return 0.0
+        return now - max(self._servers_confirmed_at, self._resumed_at())
+
     def start(self) -> None:
         """Start the read loops."""
         self._started_at = self._now()
@@ -165,7 +177,7 @@
             self._on_success()
             now = self._now()
             self._reporter.store_read_ended("servers", now - started, is_successful=True)
-            gap_s = now - self._servers_confirmed_at
+            gap_s = self.servers_gap_s(now)
             self._servers_confirmed_at = now
             self._servers_requested.clear()
             if is_scheduled:
--- a/src/hibiscushaven/gateway/tests/simulated_region.py
+++ b/src/hibiscushaven/gateway/tests/simulated_region.py
@@ -73,6 +73,7 @@
     async def _travel(self, times):
         """Wait for packets that cross the link one after the other."""
         self._call()
+        await self._region.wait_until_running(self._name)
         delay_s = STORE_DELAY_S + self._region.delays_s.get(self._name, 0.0)
         if 4 * delay_s > STORE_TIMEOUT_S:
             await asyncio.sleep(STORE_TIMEOUT_S * times / 4)
@@ -98,6 +99,8 @@
     def send(self, datagram, address):
         peer = self._region.name_at(address)
         is_lost = self._region.random.random() < self._region.loss_rate
+        if self._name in self._region.interrupted or peer in self._region.interrupted:
+            return
         if is_lost or (self._name, peer) in self._region.lost_datagrams:
             return
         asyncio.get_running_loop().call_later(
@@ -108,6 +111,7 @@
         peer = self._region.name_at(address)
         async with asyncio.timeout(timeout_s):
             await asyncio.sleep(3 * self._delay_s(peer))
+            await self._region.wait_until_running(peer)
             response = self._region.nodes[peer]._make_sync_response(
                 operator_version, servers_version
             )
@@ -133,6 +137,7 @@
     :ivar delays_s: time that each packet waits at the link of a VM, by name; 0 by default.
     :ivar lost_datagrams: pairs of sender and recipient whose datagrams are lost.
     :ivar loss_rate: fraction of all datagrams that are lost.
+    :ivar interrupted: names of the VMs that are paused or cut off.
     :ivar registered: names of the VMs that have registered, in order.
     """
 
@@ -142,6 +147,8 @@
         self.listing = ServerListing(10, (make_record("s1"), make_record("s2")))
         self.nodes = {}
         self.registered = []
+        self.interrupted = set()
+        self._resumptions = {}
         self._names = {}
         self.lost_datagrams = set()
         self.loss_rate = 0.0
@@ -196,6 +203,35 @@
     def deliver(self, datagram, name):
         self.nodes[name]._on_message(decode(datagram))
 
+    @contextlib.contextmanager
+    def cut_off(self, name):
+        """Lose all datagrams and calls of the store of a VM."""
+        store = self.nodes[name]._store
+        self.interrupted.add(name)
+        store.is_down = True
+        yield
+        store.is_down = False
+        self.interrupted.discard(name)
+
+    @contextlib.contextmanager
+    def paused(self, name):
+        """Stop a VM: its calls end after the pause, and its node takes no steps."""
+        node, resumption = self.nodes[name], asyncio.Event()
+        self.interrupted.add(name)
+        self._resumptions[name] = resumption
+        _, steps, _ = node._tasks
+        steps.cancel()
+        yield
+        node._tasks[1] = asyncio.create_task(node._step_periodically())
+        del self._resumptions[name]
+        self.interrupted.discard(name)
+        resumption.set()
+
+    async def wait_until_running(self, name):
+        """Wait for the end of the pause of a VM."""
+        if name in self._resumptions:
+            await self._resumptions[name].wait()
+
     def put_servers(self, records):
         """Store the records of all backend servers."""
         self.listing = ServerListing(self.listing.version + 1, tuple(records))
--- a/src/hibiscushaven/process/__init__.py
+++ b/src/hibiscushaven/process/__init__.py
@@ -3,6 +3,7 @@
 from .background import keep_running, spawn
 from .caller_protocol import ConnectionLimits
 from .clock import Clock, SystemClock
+from .pauses import PauseDetector
 from .server import HttpServer
 from .signals import on_stop
 from .sockets import socket_factory
@@ -11,6 +12,7 @@
     "Clock",
     "ConnectionLimits",
     "HttpServer",
+    "PauseDetector",
     "SystemClock",
     "keep_running",
     "on_stop",
