Reject requests late in the grace time, whatever the stop waits for

Cause: only the closing of the HTTP servers ended the acceptance of requests, and the removal of the own address, a call of the store of up to 0.8 s, came before it. In calm the end of the serving time was noticed up to 0.05 s late, and a connection accepted while the servers stopped was served to the end. Ruled out: requests that take longer than predicted, and failures of their servers.

Requests are compared with a time that is set at the signal before they are passed on. One that arrives in the grace time has its end as deadline, so that it is rejected at once if it would not end by then. The address is removed beside the rest and repeated until the store confirms it; closing connections is limited to 0.2 s.

--- a/src/hibiscushaven/forwarding/forwarder.py
+++ b/src/hibiscushaven/forwarding/forwarder.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from itertools import count
+from math import inf
 from typing import Protocol
 
 from hibiscushaven.delivery import (
@@ -75,6 +76,9 @@
 # Retry delay of callers while this VM has no configuration, or lacks a newer one.
 CONFIGURATION_RETRY_S = 0.3
 
+# Wait of callers that a stopping VM rejects; other VMs accept them at once.
+STOPPING_RETRY_S = 0.05
+
 
 class NoticeReader(Protocol):
     """Port to what backend servers say about themselves with their responses."""
@@ -116,6 +120,7 @@
     :param on_rate_limit_change: called when a server has announced another rate limit.
     :param links: this VM's links to the backend servers; by default they never fail.
     :param relay: relays requests to other VMs; by default none is relayed.
+    :ivar ends_at: latest deadline of requests that arrive from now on.
     """
 
     def __init__(
@@ -167,6 +172,7 @@
         self._configuration_version = 0
         self._attempt_numbers = count(1)
         self._counts: dict[str, int] = {}
+        self.ends_at = inf
         self.in_progress = 0
 
     @property
@@ -235,7 +241,7 @@
             # The VM that relays a request has counted it.
             self._count(service)
             self._retry_budget(service).count_request(request.received_at)
-        deadline = request.received_at + limit_s
+        deadline = min(request.received_at + limit_s, self.ends_at)
         return RequestContext(request, route, service, deadline, is_caller_retry)
 
     async def _forward(self, context: RequestContext) -> CallerResponse:
@@ -263,7 +269,9 @@
                     if context.last_error
                     else choice.reason
                 )
-                return await self._relay_or_end(context, 502, choice.retry_after_s)
+                is_stopping = self.ends_at < inf
+                retry_after_s = STOPPING_RETRY_S if is_stopping else choice.retry_after_s
+                return await self._relay_or_end(context, 502, retry_after_s)
             if context.sent_attempts and not self._try_spend_retry(now, context):
                 context.last_error += "; budget of repeats used up"
                 return self._final_response(context, 502)
--- a/src/hibiscushaven/forwarding/tests/test_forwarder.py
+++ b/src/hibiscushaven/forwarding/tests/test_forwarder.py
@@ -9,7 +9,8 @@
 
 from hibiscushaven.delivery import FailureKind
 from hibiscushaven.forwarding import RetryBudgetOptions
-from hibiscushaven.forwarding.forwarder import CONFIGURATION_RETRY_S
+from hibiscushaven.forwarding.forwarder import CONFIGURATION_RETRY_S, STOPPING_RETRY_S
+from hibiscushaven.placement.admission import PlacementRequest, is_admissible
 from hibiscushaven.routing import RequestKind
 
 from .support import Head, make_forwarder, make_request, make_route
@@ -217,3 +218,22 @@
     forwarder, clock, client, loads = make_forwarder([kind, Head()])
     asyncio.run(forwarder.handle(make_request(clock)))
     assert loads.of(client.requests[0].server_id).failure_rate > 0
+
+
+@pytest.mark.parametrize(("left_s", "status"), [(0.05, 503), (5.0, 200)])
+def test_request_that_would_not_end_before_the_stop_is_rejected_at_once(left_s, status):
+    """Guards against requests of a stopping VM that are cut off while a server works on them."""
+    forwarder, clock, client, _ = make_forwarder([Head()])
+    forwarder.ends_at = clock.now() + left_s
+    response = asyncio.run(forwarder.handle(make_request(clock)))
+    assert response.status == status and len(client.requests) == (status == 200)
+    if status == 503:
+        assert dict(response.headers)["Request-Outcome"] == "not-run"
+        assert float(dict(response.headers)["Retry-After"]) <= STOPPING_RETRY_S
+
+
+def test_queued_request_is_admitted_only_if_it_ends_in_time():
+    """Guards against a place in a queue for a request whose deadline comes before its objective."""
+    request = PlacementRequest(make_route(), "stock", None, objective_left_s=0.25, time_left_s=0.1)
+    assert not is_admissible(4, 4, 0.2, request)
+    assert is_admissible(4, 4, 0.2, replace(request, time_left_s=0.25))
--- a/src/hibiscushaven/gateway/daemon.py
+++ b/src/hibiscushaven/gateway/daemon.py
@@ -25,7 +25,7 @@
 from hibiscushaven.ini.fields import Endpoint
 from hibiscushaven.metrics import Metrics
 from hibiscushaven.metrics.exposition import to_text
-from hibiscushaven.process import Clock, ConnectionLimits, HttpServer
+from hibiscushaven.process import Clock, ConnectionLimits, HttpServer, spawn
 from hibiscushaven.routing import CallerLimits, OperatorState
 
 from .directory import choose_addresses
@@ -55,8 +55,20 @@
 # responses that name this VM for a while.
 SERVING_FRACTION = 0.5
 
+# Time by which the process may take note of the signal to stop too late.
+SIGNAL_LAG_S = 0.1
+
+# Fraction of the grace time at which requests that arrived during it reach their deadline.
+DEADLINE_FRACTION = 0.9
+
 # Fraction of the grace time after which requests in progress are aborted.
-ABORT_FRACTION = 0.9
+ABORT_FRACTION = 0.95
+
+# Longest wait for the store at the end, which is that for one response.
+DEREGISTER_WAIT_S = 1.0
+
+# Longest wait for the closing of connections at the end.
+CLOSE_WAIT_S = 0.2
 
 # Time without requests after which no more callers are expected during shutdown.
 QUIET_S = 1.0
@@ -137,13 +149,13 @@
             self._relay_client,
         )
         self._app = CallerApp(self._forwarder, callers, clock)
-        relay_app = CallerApp(self._forwarder, RelayedCallers(callers), clock)
+        self._relay_app = CallerApp(self._forwarder, RelayedCallers(callers), clock)
         self._caller_limits = _connection_limits(CallerLimits(idle_timeout_s=CALLER_IDLE_S))
         self._servers = [
             _make_server(self._app, options.callers_at, lambda: self._caller_limits),
             _make_server(Starlette(routes=[self._readiness_route()]), options.readiness_at),
             _make_server(Starlette(routes=[self._directory_route()]), options.directory_at),
-            _make_server(relay_app, options.relay_at),
+            _make_server(self._relay_app, options.relay_at),
         ]
         for address in (options.status_at, options.metrics_at):
             if address is not None:
@@ -189,16 +201,20 @@
         ===========
 
         Directory responses name this VM no more. It still accepts requests for half of the grace
-        time, or until no more arrive. Then the HTTP servers stop, and the requests in progress
-        finish or are aborted shortly before the grace time ends.
+        time, or until no more arrive, unless they would not end in time. Later ones are rejected,
+        whatever else the shutdown waits for. Then the HTTP servers stop, and the requests in
+        progress finish or are aborted shortly before the grace time ends.
         """
-        started = self._clock.now()
+        started, grace_s = self._clock.now(), self._options.grace_s
         _LOG.info("gateway stopping", extra={"in_progress": self._app.in_progress})
+        self._limit_requests(
+            accepts_until=started + SERVING_FRACTION * grace_s - SIGNAL_LAG_S,
+            ends_at=started + DEADLINE_FRACTION * grace_s,
+        )
         self.node.leave()
-        self._app.is_leaving = True
-        await self._wait_until_quiet(started + SERVING_FRACTION * self._options.grace_s)
-        await self.node.deregister()
-        abort_at = started + ABORT_FRACTION * self._options.grace_s
+        deregistration = spawn("deregistration", self.node.deregister())
+        await self._wait_until_quiet(self._app.accepts_until)
+        abort_at = started + ABORT_FRACTION * grace_s
         stops = [asyncio.create_task(server.stop()) for server in self._servers]
         _, unfinished = await asyncio.wait(stops, timeout=max(0.0, abort_at - self._clock.now()))
         if unfinished:
@@ -208,13 +224,30 @@
             )
             for stop in unfinished:
                 stop.cancel()
+        left_s = max(0.0, abort_at - self._clock.now())
+        await asyncio.wait((deregistration,), timeout=min(DEREGISTER_WAIT_S, left_s))
+        deregistration.cancel()
         self._forwarder.close()
-        await self.node.close()
-        await self._client.close()
-        await self._relay_client.close()
-        await self._store.close()
+        await self._close_connections()
         _LOG.info("gateway stopped", extra={"after_s": round(self._clock.now() - started, 2)})
 
+    async def _close_connections(self) -> None:
+        """Close what is open; a connection whose peer reads nothing may never close."""
+        try:
+            async with asyncio.timeout(CLOSE_WAIT_S):
+                await self.node.close()
+                for item in (self._client, self._relay_client, self._store):
+                    await item.close()
+        except TimeoutError:
+            _LOG.warning("connections left open at the end", extra={"waited_s": CLOSE_WAIT_S})
+
+    def _limit_requests(self, accepts_until: float, ends_at: float) -> None:
+        """Reject requests after a time, and those that would not end by another time."""
+        self._forwarder.ends_at = ends_at
+        for app in (self._app, self._relay_app):
+            app.accepts_until = accepts_until
+        self._app.is_leaving = True
+
     async def _wait_until_quiet(self, deadline: float) -> None:
         """Wait for ``QUIET_S`` without requests, at most until a deadline."""
         earliest = self._clock.now() + QUIET_S
@@ -223,7 +256,7 @@
             is_quiet = now - self._app.last_request_at > QUIET_S and not self._app.in_progress
             if now >= earliest and is_quiet:
                 return
-            await asyncio.sleep(_QUIET_CHECK_INTERVAL_S)
+            await asyncio.sleep(min(_QUIET_CHECK_INTERVAL_S, deadline - now))
 
     def _on_operator(self, operator: OperatorState) -> None:
         if operator.configuration is not None:
--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -282,6 +282,8 @@
         """Announce to all VMs at once that this VM accepts no new callers."""
         self._is_leaving = True
         self.view.is_leaving = True
+        if self._registering is not None:
+            self._registering.cancel()
         self._send_state_to_all(is_urgent=True)
 
     async def close(self) -> None:
@@ -296,13 +298,17 @@
         self._transport.close()
 
     async def deregister(self) -> None:
-        """Remove this VM's address from the store."""
-        try:
-            await self._store.deregister(self._options.name)
-        except StoreError as error:
-            _LOG.warning(
-                "cannot remove the address of this VM from the store", extra={"why": str(error)}
-            )
+        """Remove this VM's address from the store; repeated until the store confirms it."""
+        while True:
+            try:
+                await self._store.deregister(self._options.name)
+                return
+            except StoreError as error:
+                _LOG.warning(
+                    "cannot remove the address of this VM from the store, will retry",
+                    extra={"why": str(error)},
+                )
+            await asyncio.sleep(REGISTER_RETRY_S * random.uniform(0.5, 1.5))
 
     def on_load_change(self) -> None:
         """Schedule a state that reports the changed requests in progress to the region."""
--- a/src/hibiscushaven/gateway/tests/test_node.py
+++ b/src/hibiscushaven/gateway/tests/test_node.py
@@ -5,6 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from hibiscushaven.bench.virtual_time import run_virtual
 from hibiscushaven.discovery import KnownServer, RegistryUpdate
 from hibiscushaven.fleet import ForwarderReport, VmState, token_of
 from hibiscushaven.forwarding.tests.support import make_route
@@ -13,7 +14,7 @@
 from hibiscushaven.process.tests.support import VirtualClock
 from hibiscushaven.routing import Configuration, OperatorState, ServiceOptions
 
-from .support import make_node, make_operator, make_record
+from .support import FakeStore, make_node, make_operator, make_record
 
 
 def run_in_loop(scenario):
@@ -285,3 +286,21 @@
     sent.clear()
     node.leave()
     assert sorted(sent) == [f"vale-{number}:1" for number in range(4)]
+
+
+def test_leaving_vm_removes_its_address_once_the_store_responds_again():
+    """Guards against addresses of VMs that stay in the store since it was silent at their stop."""
+
+    class CountingStore(FakeStore):
+        def __init__(self):
+            super().__init__()
+            self.removed = []
+
+        async def deregister(self, name):
+            self.is_down = self.calls < 2
+            await super().deregister(name)
+            self.removed.append(name)
+
+    store = CountingStore()
+    run_virtual(make_node(store=store).deregister())
+    assert store.removed == ["vm-1"] and store.calls == 3
--- a/src/hibiscushaven/placement/admission.py
+++ b/src/hibiscushaven/placement/admission.py
@@ -57,6 +57,5 @@
             in_progress < slots * (1.0 + CALLER_RETRY_QUEUE_FACTOR)
             and predicted_s <= max_predicted_s
         )
-    return (
-        in_progress < slots * (1.0 + MAX_QUEUE_FACTOR) and predicted_s <= request.objective_left_s
-    )
+    max_predicted_s = min(request.objective_left_s, request.time_left_s)
+    return in_progress < slots * (1.0 + MAX_QUEUE_FACTOR) and predicted_s <= max_predicted_s
