Give the VMs in the tests of broadcasts addresses

Messages with malformed addresses are dropped since. The states of these tests named the VMs in place of their addresses, so that they were dropped too (6 tests failed). The VMs have addresses now; the assertions are unchanged.

--- a/src/hibiscushaven/gateway/tests/test_domain_broadcasts.py
+++ b/src/hibiscushaven/gateway/tests/test_domain_broadcasts.py
@@ -16,6 +16,13 @@
 from hibiscushaven.process.tests.support import VirtualClock
 
 DOMAINS = {"serra-a": 7, "serra-b": 4}
+CALLERS_AT = "10.0.0.1:80"
+
+
+def address_of(name):
+    """Return the address for messages of a VM, by its failure domain and number."""
+    domain, _, number = name.rpartition("-")
+    return f"10.0.{list(DOMAINS).index(domain)}.{number}:7000"
 
 
 class Vm:
@@ -24,6 +31,7 @@
     def __init__(self, network, number, domain):
         self.network, self.domain, self.received = network, domain, []
         self.name = f"{domain}-{number}"
+        self.address = address_of(self.name)
         self.view = FleetView(self.name, "serra", domain)
         self.is_silent = False
         self.broadcasts = DomainBroadcasts(
@@ -31,7 +39,7 @@
         )
 
     def state(self, sequence):
-        return VmState(self.name, 1, sequence, "serra", self.domain, "callers", self.name)
+        return VmState(self.name, 1, sequence, "serra", self.domain, CALLERS_AT, self.address)
 
     def receive(self, datagram):
         if self.is_silent:
@@ -50,7 +58,7 @@
             self.view.on_state(self.network.clock.now(), message)
 
     def _send(self, datagram, address):
-        self.network.send(datagram, self.name, address)
+        self.network.send(datagram, self.name, self.network.names[address])
 
 
 class Network:
@@ -63,6 +71,7 @@
         self.clock, self.crossings = VirtualClock(), []
         vms = [Vm(self, n, domain) for domain, count in DOMAINS.items() for n in range(count)]
         self.vms = {vm.name: vm for vm in vms}
+        self.names = {vm.address: vm.name for vm in vms}
         for vm in vms:
             for other in vms:
                 other.view.on_state(self.clock.now(), vm.state(1))
@@ -132,7 +141,8 @@
     network = Network()
     sender = network.vms["serra-a-0"]
     for number in range(4):
-        restarted = VmState(f"serra-b-{number}", 2, 1, "serra", "serra-b", "c", f"serra-b-{number}")
+        name = f"serra-b-{number}"
+        restarted = VmState(name, 2, 1, "serra", "serra-b", CALLERS_AT, address_of(name))
         sender.view.on_state(network.clock.now(), restarted)
     network.publish("serra-a-0")
     assert len(network.crossings) == 4
@@ -154,7 +164,7 @@
     broadcasts.send(encode(digest), recipients)
     assert len(sent) == len(DOMAINS)
     for datagram, recipient in sent:
-        network.vms[recipient].receive(datagram)
+        network.vms[network.names[recipient]].receive(datagram)
     assert all(vm.received[-1] == digest for vm in network.vms.values())
 
 
