Reuse a connection only after a response that names its request

A faulty server may write a refusal twice. Where the refusal names no request, the repetition was taken for the refusal of the next request on the connection, which the server ran: its caller was told "not run", or it ran at a second server as well (reported by another operator, shown here by a test only). A repetition on the idle connection failed the next request.

Connections are closed after a response without the id of its request, and when bytes arrive while they are idle. A repetition with an id was told apart before.

Another report, a head that ends early and is passed on as a whole answer, is ruled out by a test that ends it after each byte.

--- a/src/hibiscushaven/delivery/client.py
+++ b/src/hibiscushaven/delivery/client.py
@@ -210,7 +210,9 @@
             self._retire_pool(pool)
             pool = None
         if pool is None:
-            pool = self._pools[key] = ConnectionPool(limit, self._timeouts.idle_s)
+            pool = self._pools[key] = ConnectionPool(
+                limit, self._timeouts.idle_s, self._dialect.id_header
+            )
         return pool
 
     def _retire_pool(self, pool: ConnectionPool) -> None:
--- a/src/hibiscushaven/delivery/connection_pool.py
+++ b/src/hibiscushaven/delivery/connection_pool.py
@@ -88,9 +88,10 @@
 
     :param limit: maximum number of open connections, including idle ones.
     :param idle_timeout_s: time after which an idle connection is closed.
+    :param id_header: as in ``BoundedResponseHandler``.
     """
 
-    def __init__(self, limit: int, idle_timeout_s: float) -> None:
+    def __init__(self, limit: int, idle_timeout_s: float, id_header: str | None = None) -> None:
         self.limit = limit
         self._semaphore = asyncio.Semaphore(limit)
         self._in_use = 0
@@ -98,10 +99,12 @@
         self._reusing_session = _make_session(
             aiohttp.TCPConnector(
                 limit=0, keepalive_timeout=idle_timeout_s, socket_factory=_resetting_socket
-            )
+            ),
+            id_header,
         )
         self._single_use_session = _make_session(
-            aiohttp.TCPConnector(limit=0, force_close=True, socket_factory=_resetting_socket)
+            aiohttp.TCPConnector(limit=0, force_close=True, socket_factory=_resetting_socket),
+            id_header,
         )
 
     @property
@@ -152,9 +155,10 @@
             await self.close()
 
 
-def _make_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
+def _make_session(connector: aiohttp.TCPConnector, id_header: str | None) -> aiohttp.ClientSession:
     # aiohttp has no public option for the protocol of its connections.
-    connector._factory = partial(BoundedResponseHandler, loop=asyncio.get_running_loop())
+    loop = asyncio.get_running_loop()
+    connector._factory = partial(BoundedResponseHandler, loop=loop, id_header=id_header)
     trace = aiohttp.TraceConfig()
     trace.on_connection_reuseconn.append(_mark_reused)
     session = aiohttp.ClientSession(
--- a/src/hibiscushaven/delivery/dialect.py
+++ b/src/hibiscushaven/delivery/dialect.py
@@ -16,9 +16,12 @@
 
     :ivar own_headers: lower-case names of the header fields that the dialect sets; values of
         the caller under these names are not forwarded.
+    :ivar id_header: header field by which each response names its request; ``None`` if some
+        responses name none.
     """
 
     own_headers: frozenset[str]
+    id_header: str | None
 
     def request_headers(self, request: AttemptRequest, remaining_ms: int) -> Headers:
         """Return the header fields of an attempt that has ``remaining_ms`` left."""
@@ -34,6 +37,7 @@
     """The header fields described in ``docs/backends.md``."""
 
     own_headers = frozenset({"attempt-id", "request-deadline-ms", "start-by"})
+    id_header = None
 
     def request_headers(self, request: AttemptRequest, remaining_ms: int) -> Headers:
         headers = [
--- a/src/hibiscushaven/delivery/response_limits.py
+++ b/src/hibiscushaven/delivery/response_limits.py
@@ -1,4 +1,4 @@
-"""Limit on the bytes that a backend server sends beside the body of a response."""
+"""Bytes that a backend server sends beside its responses."""
 
 from typing import Any
 
@@ -24,11 +24,17 @@
 
     aiohttp limits the lines of a head, but accepts blank lines, interim responses and extensions of
     chunks without end. They arrive as fast as the network allows and occupy the event loop until
-    the deadline of the request.
+    the deadline of the request. It also keeps bytes that arrive on an idle connection as the
+    response to the next request.
+
+    :param id_header: header field by which each response names its request. After a response
+        without it the connection is not used again, since a repetition of that response could be
+        taken for the response to the next request. ``None`` if there is no such field.
     """
 
-    def __init__(self, *args: Any, **options: Any) -> None:
+    def __init__(self, *args: Any, id_header: str | None = None, **options: Any) -> None:
         super().__init__(*args, **options)
+        self._id_header = id_header
         self._received_bytes = 0
         self._has_head = False
 
@@ -40,10 +46,20 @@
 
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Queue a message that was parsed."""
-        self._has_head = self._has_head or data[0].code >= 200
+        message = data[0]
+        if message.code >= 200:
+            self._has_head = True
+            if self._id_header is not None and self._id_header not in message.headers:
+                self.force_close()
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
+        if data and self._is_response_complete():
+            # They belong to no request; the next one would take them for its response.
+            self.force_close()
+            if self.transport is not None:
+                self.transport.abort()
+            return
         self._received_bytes += len(data)
         super().data_received(data)
         payload = self._payload
@@ -55,6 +71,9 @@
         if self._received_bytes > MAX_OVERHEAD_BYTES + MAX_FRAMING_RATIO * body_bytes:
             self._reject()
 
+    def _is_response_complete(self) -> bool:
+        return self._has_head and (self._payload is None or self._payload.is_eof())
+
     def _reject(self) -> None:
         detail = f"{self._received_bytes} bytes that are no response"
         if self._payload is not None:
--- a/src/hibiscushaven/forwarding/relaying.py
+++ b/src/hibiscushaven/forwarding/relaying.py
@@ -52,6 +52,7 @@
     """Headers of relayed requests, as seen by the VM that sends them."""
 
     own_headers = frozenset({TIME_LEFT_HEADER.lower()})
+    id_header = None
 
     def request_headers(self, request: AttemptRequest, remaining_ms: int) -> Headers:
         return ((TIME_LEFT_HEADER, str(max(1, remaining_ms))),)
--- a/src/hibiscushaven/platform/dialects.py
+++ b/src/hibiscushaven/platform/dialects.py
@@ -69,6 +69,7 @@
     """Sets the request headers of attempts and validates the heads of responses."""
 
     own_headers = frozenset({"deadline-ms", "expect-instance", "request-id"})
+    id_header = "Request-Id"
 
     def request_headers(self, request: AttemptRequest, remaining_ms: int) -> Headers:
         headers = [
--- a/src/hibiscushaven/platform/tests/test_backends.py
+++ b/src/hibiscushaven/platform/tests/test_backends.py
@@ -20,8 +20,15 @@
 )
 
 
-def attempt_all(scripts, count=1, timeout_s=5.0, **fields):
-    """Send attempts one after the other; return their results and the stand-in."""
+async def _no_wait():
+    pass
+
+
+def attempt_all(scripts, count=1, timeout_s=5.0, between=_no_wait, **fields):
+    """Send attempts one after the other; return their results and the stand-in.
+
+    :param between: awaited after each attempt.
+    """
 
     async def main():
         stand_in = BackendStandIn(*scripts)
@@ -47,6 +54,7 @@
                 results.append((head.status, await head.read(10**6)))
             except AttemptError as error:
                 results.append(error)
+            await between()
         await client.close()
         await stand_in.close()
         return results, stand_in
--- /dev/null
+++ b/src/hibiscushaven/platform/tests/test_faulty_backends.py
@@ -0,0 +1,102 @@
+"""Backend servers that repeat a refusal or end in the middle of a response's head."""
+
+import asyncio
+
+import pytest
+
+from hibiscushaven.delivery import AttemptError, FailureKind, Outcome
+
+from .backend_standin import close_connection, header, response
+from .test_backends import attempt_all
+
+REFUSALS = {
+    "full": "HTTP/1.1 503 X\r\nNot-Executed: 1\r\n{id}Content-Length: 0\r\n\r\n",
+    "misdirected": "HTTP/1.1 421 X\r\nInstance-Id: i-2\r\n{id}Content-Length: 0\r\n\r\n",
+}
+
+
+class RepeatingServer:
+    """Refuses the first request, and repeats that on the same connection.
+
+    :ivar runs: ids of the requests that it has begun to run.
+    """
+
+    def __init__(self, status, names_request, is_repeated_while_idle):
+        self.runs = []
+        self._refusal = REFUSALS[status]
+        self._names_request = names_request
+        self._is_repeated_while_idle = is_repeated_while_idle
+        self._first = None
+
+    async def refuse(self, head, writer):
+        field = f"Request-Id: {header(head, 'Request-Id')}\r\n" if self._names_request else ""
+        self._first = writer, self._refusal.format(id=field).encode()
+        writer.write(self._first[1])
+
+    async def run(self, head, writer):
+        self.runs.append(header(head, "Request-Id"))
+        first_writer, refusal = self._first
+        if writer is first_writer and not self._is_repeated_while_idle:
+            writer.write(refusal)
+        await response()(head, writer)
+
+    async def repeat_while_idle(self):
+        """Repeat the refusal between two requests, and wait until it has arrived."""
+        if self._is_repeated_while_idle and not self.runs:
+            writer, refusal = self._first
+            writer.write(refusal)
+            for _ in range(50):
+                await asyncio.sleep(0)
+
+
+@pytest.mark.parametrize("status", REFUSALS)
+@pytest.mark.parametrize("names_request", [True, False])
+@pytest.mark.parametrize("is_repeated_while_idle", [True, False])
+def test_repeated_refusal_is_no_proof_about_the_next_request(
+    status, names_request, is_repeated_while_idle
+):
+    """Guards against a request that a server runs while its caller is told that it has not run."""
+    server = RepeatingServer(status, names_request, is_repeated_while_idle)
+    results, _ = attempt_all(
+        [server.refuse, server.run],
+        count=2,
+        method="POST",
+        body=b"order",
+        between=server.repeat_while_idle,
+    )
+    assert results[0].outcome is Outcome.NOT_RUN
+    assert server.runs == ["id-1"]
+    if isinstance(results[1], AttemptError):
+        assert results[1].outcome is Outcome.UNKNOWN
+    else:
+        assert results[1] == (200, b"whole")
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: id-0\r\nResponse-Seal: 1.2\r\nContent-Length: 12\r\n\r\n"
+
+
+@pytest.mark.parametrize("length", range(len(HEAD)))
+def test_response_that_ends_within_its_head_is_no_response(length):
+    """Guards against an empty or shortened body that looks complete to the caller."""
+
+    async def script(head, writer):
+        writer.write(HEAD[:length])
+        await close_connection(head, writer)
+
+    results, _ = attempt_all([script])
+    assert isinstance(results[0], AttemptError)
+    assert results[0].outcome is Outcome.UNKNOWN
+    assert results[0].kind in (FailureKind.CONNECTION_LOST, FailureKind.MALFORMED)
+
+
+@pytest.mark.parametrize("framing", [b"", b"Transfer-Encoding: chunked\r\n"])
+def test_response_without_a_length_that_ends_within_its_head_is_no_response(framing):
+    """Guards against a head whose missing rest would have told how long the body is."""
+    head_bytes = b"HTTP/1.1 200 OK\r\nRequest-Id: id-0\r\nResponse-Seal: 1.2\r\n" + framing
+
+    async def script(head, writer):
+        writer.write(head_bytes)
+        await close_connection(head, writer)
+
+    results, _ = attempt_all([script])
+    assert isinstance(results[0], AttemptError)
