Read the body behind an offer of another protocol

Cause: the parser ends such a request at the end of its head, and the protocol class went on as if a new request began there. Ruled out: the forwarding of the body.

Another parser now continues with the body. All HTTP servers use it, since those without limits had the same fault. CONNECT is refused, and bytes that are no request are not answered before the response in progress.

On the sources before, 16 of the new cases of test_caller_protocol.py fail.

--- a/src/hibiscushaven/process/caller_protocol.py
+++ b/src/hibiscushaven/process/caller_protocol.py
@@ -7,7 +7,9 @@
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-__all__ = ["CallerProtocol", "ConnectionLimits"]
+from .request_parser import RequestParser
+
+__all__ = ["CallerProtocol", "ConnectionLimits", "RequestProtocol"]
 
 # Time for a caller to read the response to a rejected request before its connection is closed.
 # Closing a connection with unread bytes resets it, which can lose the response.
@@ -36,7 +38,39 @@
     idle_timeout_s: float
 
 
-class CallerProtocol(HttpToolsProtocol):
+class RequestProtocol(HttpToolsProtocol):
+    """Parses requests, ignoring offers of other protocols.
+
+    Explanation
+    ===========
+
+    The response to a request that is in progress precedes the one to bytes that are no request.
+    """
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self.parser = RequestParser(self)
+        self._is_rejected = False
+
+    def data_received(self, data: bytes) -> None:
+        if not self._is_rejected:
+            super().data_received(data)
+
+    def send_400_response(self, msg: str) -> None:
+        """Respond to bytes that are no request, after the response in progress if there is one."""
+        cycle = self.cycle
+        if cycle is not None and not cycle.response_complete:
+            if not cycle.more_body or self.pipeline:
+                self._is_rejected = True
+                cycle.keep_alive = False
+                return
+            # The bytes are those of the body, so that the request has not been forwarded.
+            cycle.disconnected = True
+            cycle.message_event.set()
+        super().send_400_response(msg)
+
+
+class CallerProtocol(RequestProtocol):
     """Parses requests, and closes connections that exceed the limits.
 
     Explanation
@@ -58,7 +92,6 @@
         self._is_in_head = False
         self._received_bytes = 0
         self._parsed_head_bytes = 0
-        self._is_rejected = False
         self._arrival_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
--- a/src/hibiscushaven/process/server.py
+++ b/src/hibiscushaven/process/server.py
@@ -12,7 +12,7 @@
 
 from hibiscushaven.ini.fields import Endpoint
 
-from .caller_protocol import CallerProtocol, ConnectionLimits
+from .caller_protocol import CallerProtocol, ConnectionLimits, RequestProtocol
 
 __all__ = ["HttpServer"]
 
@@ -58,7 +58,7 @@
         adds_date_header: bool = True,
         limits: Callable[[], ConnectionLimits] | None = None,
     ) -> None:
-        protocol = "httptools" if limits is None else partial(CallerProtocol, limits=limits)
+        protocol = RequestProtocol if limits is None else partial(CallerProtocol, limits=limits)
         config = uvicorn.Config(
             app,
             host=host,
--- a/src/hibiscushaven/process/tests/test_caller_protocol.py
+++ b/src/hibiscushaven/process/tests/test_caller_protocol.py
@@ -77,17 +77,20 @@
 
     def __init__(self):
         self.may_respond = asyncio.Event()
-        self.events = []
+        self.events, self.requests = [], []
 
     async def __call__(self, scope, receive, send):
+        body = b""
         while True:
             message = await receive()
             if message["type"] == "http.disconnect":
                 self.events.append("left")
                 return
+            body += message.get("body", b"")
             if not message.get("more_body"):
                 break
         self.events.append("read")
+        self.requests.append((scope["method"], scope["raw_path"], body))
         await self.may_respond.wait()
         headers = [(b"content-length", b"2")]
         await send({"type": "http.response.start", "status": 200, "headers": headers})
@@ -242,3 +245,95 @@
         assert connection.transport.is_closed and connection.written == b""
 
     run_scenario(scenario)
+
+
+OFFER = b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAMA\r\n"
+FORGED = b"POST /x/forged HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"
+
+
+def offering_requests(body):
+    """Return requests with an offer of another protocol, by the framing of their body."""
+    start = b"POST /x/1 HTTP/1.1\r\nHost: a\r\n" + OFFER
+    length = b"Content-Length: %d\r\n\r\n" % len(body)
+    chunks = b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
+    return {
+        "length": start + length + body,
+        "chunks": start + b"Transfer-Encoding: chunked\r\n\r\n" + chunks,
+    }
+
+
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+@pytest.mark.parametrize("size", [1, 7, 10_000])
+@pytest.mark.parametrize("body", [b"slot=1", FORGED])
+def test_body_behind_an_offer_of_another_protocol_is_read(run_scenario, framing, size, body):
+    """Guards against a body that is lost, or run as a request that no caller sent."""
+
+    async def scenario(connection):
+        connection.limits = ConnectionLimits(1000, 3.0, idle_timeout_s=15.0)
+        connection.app.may_respond.set()
+        data = offering_requests(body)[framing]
+        for _ in range(2):
+            for start in range(0, len(data), size):
+                await connection.receive(data[start : start + size])
+        await connection.receive(HEAD)
+        expected = [("POST", b"/x/1", body)] * 2 + [("GET", b"/x/1", b"")]
+        assert connection.app.requests == expected
+        assert connection.written.count(b"HTTP/1.1 200") == 3
+        assert not connection.transport.is_closed
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("fields", [b"", b"Content-Length: 0\r\n"])
+def test_request_behind_an_offer_without_a_body_is_read(run_scenario, fields):
+    """Guards against a request that is lost with the offer before it."""
+
+    async def scenario(connection):
+        connection.limits = ConnectionLimits(1000, 3.0, idle_timeout_s=15.0)
+        connection.app.may_respond.set()
+        offer = b"GET /x/0 HTTP/1.1\r\nHost: a\r\n" + OFFER + fields + b"\r\n"
+        await connection.receive(offer + HEAD)
+        await connection.settle()
+        assert connection.app.requests == [("GET", b"/x/0", b""), ("GET", b"/x/1", b"")]
+
+    run_scenario(scenario)
+
+
+def test_tunnel_is_refused(run_scenario):
+    """Guards against bytes of a tunnel that run as requests."""
+
+    async def scenario(connection):
+        connection.app.may_respond.set()
+        await connection.receive(b"CONNECT a:80 HTTP/1.1\r\nHost: a\r\n\r\n" + FORGED)
+        assert connection.app.requests == [] and connection.transport.is_closed
+        assert connection.written.startswith(b"HTTP/1.1 400 ")
+
+    run_scenario(scenario)
+
+
+def test_response_in_progress_precedes_the_one_to_bytes_that_are_no_request(run_scenario):
+    """Guards against an answer to stray bytes that a caller takes for that to its request."""
+
+    async def scenario(connection):
+        await connection.receive(HEAD)
+        await connection.receive(b"\x00\x01 no request\r\n\r\n")
+        assert connection.written == b"" and not connection.transport.is_closed
+        connection.app.may_respond.set()
+        await connection.settle()
+        assert connection.written.startswith(b"HTTP/1.1 200") and b"400" not in connection.written
+        assert connection.transport.is_closed
+
+    run_scenario(scenario)
+
+
+def test_request_with_a_malformed_body_is_not_forwarded(run_scenario):
+    """Guards against a request that runs with a part of its body and is answered 400."""
+
+    async def scenario(connection):
+        head = b"POST /x/1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        await connection.receive(head + b"3\r\nabc\r\n")
+        await connection.receive(b"no chunk\r\n")
+        assert connection.written.startswith(b"HTTP/1.1 400 ")
+        assert connection.app.events == ["left"] and connection.app.requests == []
+
+    run_scenario(scenario)
