Let only deadlines end an answer whose body pauses

Cause: a limit on the time without a byte of a body, whose silence was taken for the death of the server. Ruled out: the grace time of a stop, and the deadline sent along.

A gateway has no such limit now. On the sources before, the 6 cases of the new test fail.

--- a/src/hibiscushaven/delivery/client.py
+++ b/src/hibiscushaven/delivery/client.py
@@ -44,7 +44,8 @@
     """Timeouts of the client.
 
     :ivar connect_s: maximum time to open a connection.
-    :ivar progress_s: time without a received byte after which a connection counts as silent.
+    :ivar progress_s: time without a received byte after which a connection counts as silent;
+        infinite for none.
     :ivar idle_s: time after which an idle connection is closed.
     :ivar control_s: maximum time of a call of a ``/-/`` endpoint.
     """
--- a/src/hibiscushaven/gateway/daemon.py
+++ b/src/hibiscushaven/gateway/daemon.py
@@ -4,6 +4,7 @@
 import logging
 from collections.abc import Callable
 from dataclasses import fields, replace
+from math import inf
 from typing import Protocol
 
 from starlette.applications import Starlette
@@ -48,8 +49,8 @@
 # Connecting takes milliseconds within a region and about 0.1 s between regions.
 CONNECT_TIMEOUT_S = 0.35
 
-# Longest time without progress of a body whose transfer has begun.
-PROGRESS_TIMEOUT_S = 2.0
+# A server that is silent within its response may be at work, so that only deadlines end a response.
+PROGRESS_TIMEOUT_S = inf
 
 # Fraction of the grace time for which new requests are still accepted: callers may use directory
 # responses that name this VM for a while.
--- a/src/hibiscushaven/platform/tests/test_gateway.py
+++ b/src/hibiscushaven/platform/tests/test_gateway.py
@@ -18,7 +18,7 @@
 from hibiscushaven.process import SystemClock
 
 from .backend_standin import BackendStandIn, close_connection, header, response
-from .samples import configuration_row, server_row
+from .samples import configuration_row, route_item, server_row
 from .store_standin import StoreStandIn
 
 TIME_LIMIT_S = 60
@@ -111,6 +111,41 @@
     monkeypatch.setattr(daemon_module, "QUIET_S", 0.0)
 
 
+def skip_time(monkeypatch, seconds):
+    """Set the clock of the event loop forward."""
+    loop = asyncio.get_running_loop()
+    now = loop.time
+    monkeypatch.setattr(loop, "time", lambda: now() + seconds)
+
+
+@pytest.mark.parametrize("kind", ["safe", "unsafe", "download"])
+@pytest.mark.parametrize("start", [b"", b"who"])
+def test_server_that_is_silent_within_its_response_is_waited_for(kind, start, monkeypatch):
+    """Guards against a response that is ended while its server works, long before the deadline."""
+
+    async def scenario(deployment):
+        route = route_item(Kind=kind, Timeout="6000ms")
+        deployment.store.put("op", "config", configuration_row(8, [route]))
+        node = deployment.daemon.node
+        await wait_until(lambda: node.operator.configuration.version == 8)
+        status, _, body = await deployment.request(Deadline_Ms="12000")
+        assert (status, body) == (200, "whole")
+        assert len(deployment.backend.requests) == 1
+        await deployment.daemon.stop()
+
+    async def pause_within_the_body(head, writer):
+        await response(start, length=5)(head, writer)
+        # Until the gateway waits for the rest of the body.
+        for _ in range(100):
+            await asyncio.sleep(0)
+        skip_time(monkeypatch, 4.0)
+        for _ in range(100):
+            await asyncio.sleep(0)
+        writer.write(b"whole"[len(start) :])
+
+    run(scenario, pause_within_the_body)
+
+
 def isolate(daemon):
     """Let a gateway take its links for lost, without probes that find them intact."""
     daemon.node.links.can_connect = None
