Label the servers with versions that the store gave to their content

Two VMs with different servers at one version confirm each other's data and never exchange it, until the next change. That could happen after a complete read of several pages with a change between them, and at the end of a grace period without a write to the store, where the registry took the next number as its own.

Pages are now brought to the newest version by the changes since the first one, and the registry uses the store's versions only. Both new tests fail on the sources before.

--- a/src/hibiscushaven/discovery/registry.py
+++ b/src/hibiscushaven/discovery/registry.py
@@ -258,7 +258,8 @@
         if is_newer:
             if not self.version:
                 self._changes.reset(version)
-            self.version = max(version, self.version + 1)
+            # A number that the store has not given yet could be that of its next change.
+            self.version = version
             self._changes.record(self.version, changed)
             self._rebuild_index()
         return is_newer
--- a/src/hibiscushaven/discovery/tests/test_registry.py
+++ b/src/hibiscushaven/discovery/tests/test_registry.py
@@ -310,3 +310,13 @@
     registry = make_registry(make_record("s1"), version=version_of(2, 100))
     assert not registry.replace_all(1.0, version_of(1, 500), [make_record("s2")], gap_s=0.5)
     assert registry.servers.keys() == {"s1"}
+
+
+def test_end_of_a_grace_period_takes_no_version_of_a_later_change():
+    """Guards against two VMs that have different servers at one version and confirm each other."""
+    reader, other = make_registry(make_record("s1"), make_record("s2")), Registry()
+    reader.replace_all(10.0, 20, [make_record("s1")], gap_s=6.0)
+    reader.replace_all(12.1, 20, [make_record("s1")], gap_s=0.5)
+    assert set(reader.servers) == {"s1"}
+    other.replace_all(12.2, 21, [make_record("s1", is_leaving=True)], gap_s=0.5)
+    assert reader.version < other.version
--- a/src/hibiscushaven/platform/store.py
+++ b/src/hibiscushaven/platform/store.py
@@ -201,6 +201,7 @@
             raise StoreError(f"malformed changes of table {table!r}: {error!r}") from error
 
     async def _read_all(self, table: str) -> tuple[dict[str, bytes], int]:
+        """Return all rows as of one version of the store."""
         rows: dict[str, bytes] = {}
         version = 0
         start = ""
@@ -213,16 +214,25 @@
                 raise StoreError(f"era changed during the read of table {table!r}")
             try:
                 page = {_key_of(row): _decode_value(row) for row in _of_empty_part(body["Rows"])}
-                # Later pages may be newer. The version of the first page makes the next
-                # ``_read_changes`` return all changes since then.
-                version = version or version_of(era, int(body["Ver"]))
+                page_version = version_of(era, int(body["Ver"]))
+                version = version or page_version
                 has_more = bool(body["HasMore"])
             except FIELD_ERRORS as error:
                 raise StoreError(f"malformed rows of table {table!r}: {error!r}") from error
             rows |= page
             if not has_more or not page:
-                return rows, version
+                break
             start = max(page) + "\0"
+        if page_version == version:
+            return rows, version
+        # The pages are of several versions, whose changes bring all rows to the same one.
+        changes, newest = await self._fetch_changes(table, version, 0.0)
+        for key, (value, _) in changes.items():
+            if value is None:
+                rows.pop(key, None)
+            else:
+                rows[key] = value
+        return rows, max(version, newest)
 
     async def _write_rows(self, transaction: Mapping[str, Any]) -> int:
         """Apply a transaction, and return the era in which the store did so."""
--- a/src/hibiscushaven/platform/tests/test_store.py
+++ b/src/hibiscushaven/platform/tests/test_store.py
@@ -147,6 +147,30 @@
     run(scenario)
 
 
+def test_pages_of_several_versions_are_brought_to_the_newest(monkeypatch):
+    """Guards against rows that are newer than the version under which other VMs compare them."""
+    monkeypatch.setattr(store_module, "PAGE_ROWS", 2)
+
+    async def scenario(stand_in, client):
+        for name in ("s1", "s2", "s3", "s4"):
+            stand_in.put("servers", name, server_row())
+        read_page = stand_in._rows_get
+
+        async def change_before_the_second_page(request):
+            if "From" in request.query and len(stand_in.calls) == 2:
+                stand_in.delete("servers", "s1")
+                stand_in.put("servers", "s3", server_row(state="draining"))
+            return await read_page(request)
+
+        stand_in._rows_get = change_before_the_second_page
+        listing = await client.read_servers()
+        leaving = {record.server_id: record.is_leaving for record in listing.records}
+        assert leaving == {"s2": False, "s3": True, "s4": False}
+        assert listing.version == version_of(1, stand_in.version)
+
+    run(scenario)
+
+
 def test_expired_change_history_causes_a_complete_read():
     """Guards against deleted servers that stay in the copy, since their deletion is not sent."""
 
