--- a/src/hibiscushaven/gateway/daemon.py
+++ b/src/hibiscushaven/gateway/daemon.py
@@ -225,7 +225,7 @@
             )
             for stop in unfinished:
                 stop.cancel()
-        left_s = max(0.0, abort_at - self._clock.now())
+        left_s = max(0.0, self._forwarder.ends_at - self._clock.now())
         await asyncio.wait((deregistration,), timeout=min(DEREGISTER_WAIT_S, left_s))
         deregistration.cancel()
         self._forwarder.close()
