Count as an outage only the time in which a VM hears from its region

It now counts the time since it hears from a VM of another failure domain of its region, or from any VM if it knows of no other failure domain. Two tests fail before.

--- a/src/hibiscushaven/fleet/view.py
+++ b/src/hibiscushaven/fleet/view.py
@@ -115,6 +115,8 @@
         self._local_in_progress: dict[int, int] = {}
         self._remote_in_progress: dict[int, int] = {}
         self._slowness: dict[int, tuple[float, float]] = {}
+        self._has_contact = True
+        self._contact_since = float("-inf")
 
     @property
     def local_peer_count(self) -> int:
@@ -195,6 +197,28 @@
         _add(self._remote_in_progress, digest.in_progress, 1)
         return True
 
+    def contact_since(self, now: float) -> float:
+        """Return since when this VM has heard from others of its region; now if it hears none.
+
+        Explanation
+        ===========
+
+        The VMs of its own failure domain do not count while others are known, since they may be
+        cut off together. A VM that knows no others is always in contact.
+        """
+        return self._contact_since if self._has_contact else now
+
+    def _update_contact(self, now: float) -> None:
+        peers = self._local_peers()
+        elsewhere = [
+            peer for peer in peers if peer.state.failure_domain != self.failure_domain
+        ] or peers
+        timeout_s = self._local_timeout_s(now)
+        has_contact = not peers or any(now - p.last_seen_at <= timeout_s for p in elsewhere)
+        if has_contact and not self._has_contact:
+            self._contact_since = now
+        self._has_contact = has_contact
+
     def resume(self, pause_s: float) -> None:
         """Don't count a pause of this process as silence of the other VMs and regions."""
         for peer in self._peers.values():
@@ -212,6 +236,7 @@
         """
         silent = []
         self.uptime.expire(now)
+        self._update_contact(now)
         if not self.has_aggregator(now):
             self.aggregate.clear()
         if self.aggregator(now) is not self:
--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -173,7 +173,7 @@
             self._adopt_operator,
             self._send_state_to_region,
             self._reporter,
-            lambda: self._pauses.resumed_at,
+            self._observing_since,
         )
         self._puller = PeerPuller(
             self._pull, clock, self._reporter, self._on_sync_response, self._on_pull_delay
@@ -431,6 +431,10 @@
         if is_peer_newer:
             self._puller.start(name, state.peers_at)
 
+    def _observing_since(self) -> float:
+        """Return since when this VM would have heard of reads by the others of its region."""
+        return max(self._pauses.resumed_at, self.view.contact_since(self._clock.now()))
+
     def _confirm_servers(self, now: float, read_at: float) -> None:
         """Record a read by any VM that returned the backend servers known here."""
         if read_at > self._reader.servers_confirmed_at:
--- a/src/hibiscushaven/gateway/reader.py
+++ b/src/hibiscushaven/gateway/reader.py
@@ -59,7 +59,7 @@
     :param on_availability_change: called when the store becomes unavailable or available to this
         VM, so that the VMs of the region can update their ranks.
     :param reporter: counts the reads.
-    :param resumed_at: returns the end of the latest pause of this process.
+    :param observing_since: returns since when this VM would have heard of reads by others.
     """
 
     def __init__(
@@ -72,9 +72,9 @@
         on_operator: Callable[[OperatorState, str], None],
         on_availability_change: Callable[[], None],
         reporter: SyncReporter,
-        resumed_at: Callable[[], float] = lambda: _NEVER,
+        observing_since: Callable[[], float] = lambda: _NEVER,
     ) -> None:
-        self._resumed_at = resumed_at
+        self._observing_since = observing_since
         self._store = store
         self._now = clock.now
         self._reader_rank = rank
@@ -107,14 +107,14 @@
         """Time of the latest read by any VM that returned the backend servers known here."""
         return self._servers_confirmed_at
 
-    def servers_gap_s(self, now: float) -> float:
-        """Return the time since a read confirmed the servers known here; 0 before the first one.
+    def servers_gap_s(self, read_at: float) -> float:
+        """Return the time before a read for which no VM has read the servers; 0 before any.
 
-        Pauses of this process do not count, since others may have read the store meanwhile.
+        The time in which this VM would not have heard of a read does not count.
         """
         if self._servers_confirmed_at == _NEVER:
             return 0.0
-        return now - max(self._servers_confirmed_at, self._resumed_at())
+        return max(0.0, read_at - max(self._servers_confirmed_at, self._observing_since()))
 
     def start(self) -> None:
         """Start the read loops."""
--- a/src/hibiscushaven/gateway/tests/test_paused_vm.py
+++ b/src/hibiscushaven/gateway/tests/test_paused_vm.py
@@ -6,6 +6,7 @@
 
 from hibiscushaven.bench.virtual_time import run_virtual
 from hibiscushaven.discovery import EXPIRY_GRACE_S, OUTAGE_RENEWALS, RENEWAL_INTERVAL_S
+from hibiscushaven.fleet import FleetView, VmState
 from hibiscushaven.gateway import ServerListing
 from hibiscushaven.process.tests.support import VirtualClock
 
@@ -156,3 +157,41 @@
 
     def now(self):
         return super().now() + self.pause_s
+
+
+@pytest.mark.parametrize(("is_peer_heard", "gap_s"), [(True, OUTAGE_S), (False, 0.0)])
+def test_time_without_contact_is_no_outage_of_the_store(is_peer_heard, gap_s):
+    """Guards against a VM that takes the failure of its own links for an outage of the store."""
+
+    def scenario():
+        clock = VirtualClock()
+        node, peer = make_node(clock=clock), make_node("vm-2", clock)
+        node._on_message(peer._state())
+        node._on_listing(ServerListing(10, both_records()), 0.5)
+        node._confirm_servers(clock.now(), clock.now())
+        clock.time += OUTAGE_S
+        if is_peer_heard:
+            node._on_message(peer._state())
+        node._step(clock.now())
+        assert node._reader.servers_gap_s(clock.now()) == pytest.approx(gap_s)
+
+    run_in_loop(scenario)
+
+
+def test_vm_of_the_own_failure_domain_is_no_contact_while_others_are_known():
+    """Guards against VMs of a failure domain that are cut off together and confirm each other."""
+    view = FleetView("vm-1", "serra", "serra-a")
+    for name, domain in (("vm-2", "serra-a"), ("vm-3", "serra-b")):
+        view.on_state(0.0, make_peer_state(name, domain, 1))
+    view.expire(0.1)
+    assert view.contact_since(0.1) < 0
+    view.on_state(5.0, make_peer_state("vm-2", "serra-a", 2))
+    view.expire(5.0)
+    assert view.contact_since(5.0) == 5.0
+    view.on_state(6.0, make_peer_state("vm-3", "serra-b", 2))
+    view.expire(6.0)
+    assert view.contact_since(6.5) == 6.0
+
+
+def make_peer_state(name, failure_domain, sequence):
+    return VmState(name, 1, sequence, "serra", failure_domain, "10.0.0.2:80", "10.0.0.2:81")
