--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -404,11 +404,12 @@
         is_local = digest.region == self._options.region
         if is_local:
             self._reporter.digest_received(is_accepted)
+            # A VM that was cut off accepts digests only once their sender has heard of it.
+            self._compare_versions(now, digest.sender, digest)
         if not is_accepted:
             return
         if is_local:
             self._lost_servers.report(now, digest.lost_server_ages_s)
-            self._compare_versions(now, digest.sender, digest)
         elif self.view.is_aggregating(now):
             self._broadcasts.send(encode(digest), self.view.known_local_peers())
 
--- a/src/hibiscushaven/gateway/tests/test_paused_vm.py
+++ b/src/hibiscushaven/gateway/tests/test_paused_vm.py
@@ -215,5 +215,18 @@
     assert set(registry.servers) == {"s1"}
 
 
+def test_digest_from_another_vm_than_the_elected_one_tells_of_newer_data():
+    """Guards against a VM that returns and learns late what the others know."""
+
+    def scenario():
+        clock = VirtualClock()
+        node, sender = make_node(clock=clock), make_node("vm-2", clock)
+        sender._on_listing(ServerListing(10, both_records()), 0.5)
+        node._on_message(sender._local_digest(clock.now()))
+        assert node._newest_servers_version == 10 and node._puller.is_pulling
+
+    run_in_loop(scenario)
+
+
 def make_peer_state(name, failure_domain, sequence):
     return VmState(name, 1, sequence, "serra", failure_domain, "10.0.0.2:80", "10.0.0.2:81")
