Drop messages with numbers that no message can pass on

A number of more than single precision in a message of another VM made each later message and step of its receiver fail, so that it sent no states any more.

Numbers are limited to 1e12, so that their sums fit into messages too.

--- a/src/hibiscushaven/fleet/messages.py
+++ b/src/hibiscushaven/fleet/messages.py
@@ -1,6 +1,5 @@
 """Datagrams that VMs exchange: states of single VMs, and digests of whole regions."""
 
-import math
 import struct
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field, fields
@@ -39,6 +38,9 @@
 # Versions are signed integers of 64 bits in messages, and never negative.
 _MAX_INTEGER = 2**63 - 1
 
+# Above all ages, rates and counts. Sums over all VMs of larger numbers do not fit into a message.
+_MAX_NUMBER = 1e12
+
 
 class MessageError(Exception):
     """Bytes that are not a valid message of this format."""
@@ -317,12 +319,12 @@
 
 
 def _is_number(value: object) -> bool:
-    return isinstance(value, _NUMBERS) and math.isfinite(value)
+    return isinstance(value, _NUMBERS) and -_MAX_NUMBER <= value <= _MAX_NUMBER
 
 
 def _is_in_range(value: object) -> bool:
     if isinstance(value, float):
-        return math.isfinite(value)
+        return _is_number(value)
     return not isinstance(value, int) or 0 <= value <= _MAX_INTEGER
 
 
