Reject late requests of a stop where other requests are rejected

A request that a stopping VM rejects for its time was not logged, so that it could not be explained. The forwarder rejects it now, as it does others; the test moved with it.

--- a/src/hibiscushaven/forwarding/app.py
+++ b/src/hibiscushaven/forwarding/app.py
@@ -3,14 +3,13 @@
 import asyncio
 import logging
 from collections.abc import Awaitable
-from math import inf
 
 from starlette.types import Receive, Scope, Send
 
 from hibiscushaven.delivery import Headers
 from hibiscushaven.process import Clock
 
-from .forwarder import STOPPING_RETRY_S, Forwarder
+from .forwarder import Forwarder
 from .messages import CallerDialect, CallerRequest, CallerResponse, rejection_response
 
 __all__ = ["CallerApp"]
@@ -35,7 +34,6 @@
     the attempt to the backend server.
 
     :ivar is_leaving: whether responses ask callers to close their connections.
-    :ivar accepts_until: time from which requests are rejected that have not been forwarded.
     :ivar last_request_at: time of the latest request.
     """
 
@@ -45,7 +43,6 @@
         self._now = clock.now
         self._body_bytes = 0
         self.is_leaving = False
-        self.accepts_until = inf
         self.in_progress = 0
         self.last_request_at = 0.0
 
@@ -69,10 +66,6 @@
                 send, scope["method"], rejection_response("body too large", None, 413)
             )
             return
-        if self._now() >= self.accepts_until:
-            rejection = rejection_response("this VM is stopping", STOPPING_RETRY_S)
-            await self._write(send, scope["method"], rejection)
-            return
         self._body_bytes += len(body)
         try:
             request = self._request(scope, body, received_at)
--- a/src/hibiscushaven/forwarding/forwarder.py
+++ b/src/hibiscushaven/forwarding/forwarder.py
@@ -120,6 +120,7 @@
     :param on_rate_limit_change: called when a server has announced another rate limit.
     :param links: this VM's links to the backend servers; by default they never fail.
     :param relay: relays requests to other VMs; by default none is relayed.
+    :ivar accepts_until: time from which requests are rejected whose body arrives later.
     :ivar ends_at: latest deadline of requests that arrive from now on.
     """
 
@@ -172,7 +173,7 @@
         self._configuration_version = 0
         self._attempt_numbers = count(1)
         self._counts: dict[str, int] = {}
-        self.ends_at = inf
+        self.accepts_until = self.ends_at = inf
         self.in_progress = 0
 
     @property
@@ -221,6 +222,8 @@
 
     def _prepare(self, request: CallerRequest) -> RequestContext | CallerResponse:
         """Return the context of a request, or the response if it cannot be forwarded."""
+        if self._now() >= self.accepts_until:
+            return rejection_response("this VM is stopping", STOPPING_RETRY_S)
         configuration = self._picker.configuration
         if self._route_table is None or configuration is None:
             return rejection_response("no configuration yet", CONFIGURATION_RETRY_S)
--- a/src/hibiscushaven/forwarding/tests/test_app.py
+++ b/src/hibiscushaven/forwarding/tests/test_app.py
@@ -1,7 +1,6 @@
 """The ASGI application for callers: bodies, truncated responses and disconnects."""
 
 import asyncio
-import math
 
 import pytest
 
@@ -44,13 +43,12 @@
     }
 
 
-def serve(forwarder, messages, is_leaving=False, accepts_until=math.inf, **fields):
+def serve(forwarder, messages, is_leaving=False, **fields):
     """Serve one request, and return the ASGI messages that were sent."""
 
     async def main():
         app = CallerApp(forwarder, Dialect(), VirtualClock())
         app.is_leaving = is_leaving
-        app.accepts_until = accepts_until
         waiting = list(messages)
         sent = []
 
@@ -106,14 +104,6 @@
     assert dict(messages[0]["headers"])[b"connection"] == b"close"
 
 
-def test_stopping_vm_rejects_requests_that_arrive_too_late():
-    """Guards against requests whose body arrives when they can only be cut off."""
-    forwarder = ScriptedForwarder(CallerResponse(200, ()))
-    sent = serve(forwarder, [body(b"order")], accepts_until=VirtualClock().now())
-    assert sent[0]["status"] == 503 and forwarder.requests == []
-    assert (b"request-outcome", b"not-run") in sent[0]["headers"]
-
-
 def test_truncated_response_does_not_look_complete():
     """Guards against a truncated body that is ended like a complete one."""
 
--- a/src/hibiscushaven/forwarding/tests/test_forwarder.py
+++ b/src/hibiscushaven/forwarding/tests/test_forwarder.py
@@ -232,6 +232,16 @@
         assert float(dict(response.headers)["Retry-After"]) <= STOPPING_RETRY_S
 
 
+def test_stopping_vm_rejects_requests_that_arrive_too_late():
+    """Guards against requests whose body arrives when they can only be cut off."""
+    forwarder, clock, client, _ = make_forwarder([Head()])
+    request = make_request(clock, body=b"order")
+    forwarder.accepts_until = clock.time = clock.time + 0.1
+    response = asyncio.run(forwarder.handle(request))
+    assert response.status == 503 and client.requests == []
+    assert dict(response.headers)["Request-Outcome"] == "not-run"
+
+
 def test_queued_request_is_admitted_only_if_it_ends_in_time():
     """Guards against a place in a queue for a request whose deadline comes before its objective."""
     request = PlacementRequest(make_route(), "stock", None, objective_left_s=0.25, time_left_s=0.1)
--- a/src/hibiscushaven/gateway/daemon.py
+++ b/src/hibiscushaven/gateway/daemon.py
@@ -150,13 +150,13 @@
             self._relay_client,
         )
         self._app = CallerApp(self._forwarder, callers, clock)
-        self._relay_app = CallerApp(self._forwarder, RelayedCallers(callers), clock)
+        relay_app = CallerApp(self._forwarder, RelayedCallers(callers), clock)
         self._caller_limits = _connection_limits(CallerLimits(idle_timeout_s=CALLER_IDLE_S))
         self._servers = [
             _make_server(self._app, options.callers_at, lambda: self._caller_limits),
             _make_server(Starlette(routes=[self._readiness_route()]), options.readiness_at),
             _make_server(Starlette(routes=[self._directory_route()]), options.directory_at),
-            _make_server(self._relay_app, options.relay_at),
+            _make_server(relay_app, options.relay_at),
         ]
         for address in (options.status_at, options.metrics_at):
             if address is not None:
@@ -214,7 +214,7 @@
         )
         self.node.leave()
         deregistration = spawn("deregistration", self.node.deregister())
-        await self._wait_until_quiet(self._app.accepts_until)
+        await self._wait_until_quiet(self._forwarder.accepts_until)
         abort_at = started + ABORT_FRACTION * grace_s
         stops = [asyncio.create_task(server.stop()) for server in self._servers]
         _, unfinished = await asyncio.wait(stops, timeout=max(0.0, abort_at - self._clock.now()))
@@ -244,9 +244,7 @@
 
     def _limit_requests(self, accepts_until: float, ends_at: float) -> None:
         """Reject requests after a time, and those that would not end by another time."""
-        self._forwarder.ends_at = ends_at
-        for app in (self._app, self._relay_app):
-            app.accepts_until = accepts_until
+        self._forwarder.accepts_until, self._forwarder.ends_at = accepts_until, ends_at
         self._app.is_leaving = True
 
     async def _wait_until_quiet(self, deadline: float) -> None:
