--- a/src/hibiscushaven/gateway/tests/interruptions.py
+++ b/src/hibiscushaven/gateway/tests/interruptions.py
@@ -3,6 +3,8 @@
 import asyncio
 from dataclasses import replace
 
+from hibiscushaven.eras import number_of
+
 from .simulated_region import LoopClock
 from .support import make_record
 
@@ -61,15 +63,15 @@
             await asyncio.sleep(self._rng.expovariate(1.0 / mean_s))
             await action()
 
-    def _a_free_vm(self):
+    def _pick_vm(self):
         return self._rng.choice(sorted(set(self._region.nodes) - self._region.interrupted))
 
     async def _pause_vm(self):
-        with self._region.paused(self._a_free_vm()):
+        with self._region.paused(self._pick_vm()):
             await asyncio.sleep(self._rng.uniform(0.6, 6.0))
 
     async def _cut_vm(self):
-        with self._region.cut_off(self._a_free_vm()):
+        with self._region.cut_off(self._pick_vm()):
             await asyncio.sleep(self._rng.uniform(0.2, 6.0))
 
     async def _interrupt_store(self):
@@ -82,9 +84,9 @@
     def _restore_store(self):
         """Restore a copy, into which the servers write their state again."""
         region = self._region
-        era_number = self._copies[0][1] if self._copies else region.listing.version
+        copied_version = self._copies[0][1] if self._copies else region.listing.version
         records = region.listing.records
-        region.begin_later_era(era_number)
+        region.begin_later_era(number_of(copied_version))
         region.listing = replace(region.listing, records=records)
 
     async def _change_servers(self):
--- a/src/hibiscushaven/gateway/tests/simulated_region.py
+++ b/src/hibiscushaven/gateway/tests/simulated_region.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 
 from hibiscushaven.bench.virtual_time import run_virtual
-from hibiscushaven.eras import era_of, number_of, version_of
+from hibiscushaven.eras import era_of, version_of
 from hibiscushaven.fleet import token_of
 from hibiscushaven.fleet.messages import decode
 from hibiscushaven.gateway import GatewayNode, GatewayOptions, ServerListing, StoreError, VmAddress
@@ -268,7 +268,7 @@
 
     def begin_later_era(self, number):
         """Count from a number again, as a store that was restored from a copy."""
-        self.begin_era(era_of(self.listing.version) + 1, number_of(number))
+        self.begin_era(era_of(self.listing.version) + 1, number)
 
     @contextlib.asynccontextmanager
     async def interrupted_watches(self):
