--- a/src/hibiscushaven/platform/tests/test_gateway.py
+++ b/src/hibiscushaven/platform/tests/test_gateway.py
@@ -34,8 +34,9 @@
 class Deployment:
     """One gateway with a store, a backend server and an HTTP client."""
 
-    def __init__(self, *scripts, clock=None):
+    def __init__(self, *scripts, clock=None, regions=None):
         self.clock = clock or SystemClock()
+        self._regions = regions or {"serra-a": "serra"}
         self.store = StoreStandIn()
         self.backend = BackendStandIn(*scripts)
         self.options = None
@@ -52,7 +53,7 @@
             "vm-1",
             "serra",
             "serra-a",
-            {"serra-a": "serra"},
+            self._regions,
             *(free_endpoint() for _ in range(5)),
             metrics_at=free_endpoint(),
         )
