Send suspects on new connections, so that one event is one crash

A request was refused for ten minutes as one that crashes backend servers, although the servers had been killed together: seen twice in test_killed_backend_servers_lose_no_idempotent_request, beside other load.

Cause, as far as shown: a killed process closes its listening sockets first and then its connections one by one. A request that was lost on the first of these and sent again by its caller went to the next server of the same process on a pooled connection that was not closed yet, so that its loss looked like another crash after the first one. A new connection to such a server fails before the request is sent, and counts as no crash. Retries of the dispatcher used new connections already; a suspect that came again did not.

Ruled out: retries within the dispatcher (on new connections, which the listening sockets, closed first, refuse), and the gateways (their ledger dates all attempts of a request from its arrival). The failures themselves left no log of the VMs, so the entry stays in KNOWN-RED.txt.

--- a/src/hibiscushaven/dispatch/actions.py
+++ b/src/hibiscushaven/dispatch/actions.py
@@ -54,8 +54,8 @@
     """Send a request to a backend server; the attempt occupies the slot of its token.
 
     :ivar is_hedge: whether another attempt of the same work item is still in progress.
-    :ivar use_new_connection: whether a pooled connection must not be used; set on retries,
-        because the pooled connection may be dead.
+    :ivar use_new_connection: whether a pooled connection must not be used; set on retries and
+        for suspects, because the pooled connection may be dead, and its loss is then no crash.
     """
 
     attempt_id: str
--- a/src/hibiscushaven/dispatch/attempts.py
+++ b/src/hibiscushaven/dispatch/attempts.py
@@ -69,8 +69,9 @@
         attempt = Attempt(
             attempt_id, item, state, token, now, is_hedge, is_suspect=False, is_long=item.is_long
         )
+        use_new_connection = is_suspect or (item.is_retry and not is_hedge)
         action = StartAttempt(
-            attempt_id, item.work.id, state.name, token, is_hedge, item.is_retry and not is_hedge
+            attempt_id, item.work.id, state.name, token, is_hedge, use_new_connection
         )
         self._attempts[attempt_id] = attempt
         self._copies_in_progress[item.work.fingerprint] += 1
--- a/src/hibiscushaven/dispatch/tests/test_crashes.py
+++ b/src/hibiscushaven/dispatch/tests/test_crashes.py
@@ -78,6 +78,16 @@
     assert len(following) == 4  # the response cleared the suspicion
 
 
+def test_suspect_is_sent_on_a_new_connection():
+    """Guards against a kept connection of a dead server, whose loss counts as a second crash."""
+    driver = Driver(4, 2)
+    first = driver.submit(ORDER, fingerprint="innocent")
+    driver.send(first)
+    _crash(driver, first)
+    assert not first.use_new_connection
+    assert driver.submit(fingerprint="innocent").use_new_connection
+
+
 def test_suspects_do_not_share_a_server():
     """Guards against two suspects on one server, whose crash would quarantine both."""
     driver = Driver(3, 4)
