Resume the feed of the operator state from the state's own version

What callers would see: requests handled by an old configuration, or outside their home regions, until the next change of the same row, while all VMs of the region take their configuration for confirmed.

Cause: a response without rows counted as proof that nothing had changed up to the version that it names, and the next call resumed there. A store whose watches hear nothing for a time may name a version beyond a change that it did not send. That change was then never read, unless the store dropped its history beyond that version and said so by 410. Besides, the version of a complete read was also applied to other states: one from a peer, older than that read, missed the changes between.

Evidence: the stand-in can now hide changes from its feeds and drop its history. Of the five new tests, four fail on and on; where the history is dropped beyond the version read, 410 follows and the test passes.

Change: a feed resumes from the version of the known state, which rows or a complete read gave it, or from that of the complete read that returned this state. What was hidden lies above it, so that it is returned, or 410 leads to a complete read.

--- a/src/hibiscushaven/platform/store.py
+++ b/src/hibiscushaven/platform/store.py
@@ -112,8 +112,8 @@
         self._url = f"http://{address}"
         self._session: aiohttp.ClientSession | None = None
         self._servers = _TableCopy(_SERVERS_TABLE)
-        # Version up to which the operator's state has been read, with or without changes.
-        self._operator_read_version = 0
+        # Version of the operator's state that the last complete read returned, and of that read.
+        self._operator_read_whole = 0, 0
         self._records: dict[str, ServerRecord] = {}
         # Latest era of all responses; 0 before the first one.
         self._era = 0
@@ -121,19 +121,21 @@
 
     async def read_operator(self, known: OperatorState, wait_s: float) -> OperatorState:
         if known.version:
-            after = max(known.version, self._operator_read_version)
+            # An empty response is no proof that its version has no change: feeds may hide changes.
+            state_version, read_version = self._operator_read_whole
+            after = read_version if known.version == state_version else known.version
             try:
-                rows, version = await self._fetch_changes(_OPERATOR_TABLE, after, wait_s)
+                rows, _ = await self._fetch_changes(_OPERATOR_TABLE, after, wait_s)
             except _ChangesUnknownError as error:
                 _log_complete_read(_OPERATOR_TABLE, error)
             else:
-                self._operator_read_version = max(after, version)
                 return _with_changes(known, rows)
         values, version = await self._read_all(_OPERATOR_TABLE)
         if version < known.version:
             raise StoreError(f"read at {_describe(version)}, known is {_describe(known.version)}")
-        self._operator_read_version = version
-        return _as_of(version, values, known)
+        state = _as_of(version, values, known)
+        self._operator_read_whole = state.version, version
+        return state
 
     async def read_servers(self) -> ServerListing:
         copy = self._servers
--- a/src/hibiscushaven/platform/tests/store_standin.py
+++ b/src/hibiscushaven/platform/tests/store_standin.py
@@ -40,12 +40,16 @@
     since is gone, and its versions are given out again. All responses name the era, which rises by
     one.
 
+    The feeds may hide changes for a time, and the history of changes may be dropped.
+
     :ivar log: version, table, key and value of each change, ``None`` for a deletion.
     :ivar faults: faults of the next calls, one each.
     :ivar calls: names of the calls so far.
     :ivar late_writes: writes that are applied later, whose connections were reset.
     :ivar raw_values: values of rows as they are sent, by key, in place of their base64.
     :ivar part: part that the rows of the feeds name.
+    :ivar shown_version: version after which the feeds hide all changes; ``None`` if they hide none.
+    :ivar dropped_version: version up to which the history was dropped.
     :ivar era: 1, and one more after each restore; named by no response if it is ``None``.
     """
 
@@ -59,6 +63,8 @@
         self.late_writes = []
         self.raw_values = {}
         self.part = ""
+        self.shown_version = None
+        self.dropped_version = 0
         self.port = 0
         self._runner = None
         self._changed = asyncio.Event()
@@ -88,6 +94,18 @@
         self.rows.pop((table, key), None)
         self._log_change(table, key, None)
 
+    def hide_changes(self):
+        """Hide the changes from now on from the feeds."""
+        self.shown_version = self.version
+
+    def show_changes(self, *, is_history_dropped):
+        """Hide no changes any more; what was hidden may be dropped from the history."""
+        self.shown_version = None
+        if is_history_dropped:
+            self.log.clear()
+            self.dropped_version = self.version
+        self._wake_feeds()
+
     def copy(self):
         """Return a copy to restore later."""
         return StoreCopy(dict(self.rows), tuple(self.log), self.version)
@@ -96,6 +114,7 @@
         """Return to a copy, and begin another era."""
         self.rows, self.log, self.version = dict(copy.rows), list(copy.log), copy.version
         self.era += 1
+        self.dropped_version = min(self.dropped_version, copy.version)
         self._wake_feeds()
 
     def _log_change(self, table, key, raw):
@@ -166,11 +185,12 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + int(request.query["WaitMs"]) / 1000
         while True:
-            if after > self.version:
+            if not self.dropped_version <= after <= self.version:
                 return web.json_response({}, status=410)
             changes = {}
             for version, name, key, raw in self.log:
-                if name == table and version > after:
+                is_hidden = self.shown_version is not None and version > self.shown_version
+                if name == table and version > after and not is_hidden:
                     row = self._encode_row(table, key, raw, version)
                     changes[key] = {**row, "part": self.part}
             if changes or loop.time() >= deadline:
--- a/src/hibiscushaven/platform/tests/test_gateway.py
+++ b/src/hibiscushaven/platform/tests/test_gateway.py
@@ -12,6 +12,7 @@
 from hibiscushaven.forwarding import RetryBudgetOptions
 from hibiscushaven.gateway import GatewayDaemon, GatewayOptions
 from hibiscushaven.gateway import daemon as daemon_module
+from hibiscushaven.gateway import reader as reader_module
 from hibiscushaven.ini.fields import Endpoint
 from hibiscushaven.platform.dialects import PlatformBackends, PlatformCallers, PlatformDirectory
 from hibiscushaven.platform.store import StoreClient
@@ -436,6 +437,24 @@
     run(scenario)
 
 
+def test_configuration_that_the_feeds_hid_is_adopted(monkeypatch):
+    """Guards against a gateway that takes an old configuration for confirmed until the next one."""
+
+    async def scenario(deployment):
+        store, node = deployment.store, deployment.daemon.node
+        store.hide_changes()
+        store.put("op", "config", configuration_row(8))
+        reads_until = deployment.clock.now() + 0.1
+        await wait_until(lambda: node._reader.operator_confirmed_at > reads_until)
+        store.show_changes(is_history_dropped=True)
+        async with asyncio.timeout(10.0):
+            await wait_until(lambda: node.operator.configuration.version == 8)
+        await deployment.daemon.stop()
+
+    monkeypatch.setattr(reader_module, "OPERATOR_WAIT_S", 0.02)
+    run(scenario)
+
+
 @pytest.mark.parametrize(
     "entry", [{**server_row(), "born": math.inf}, 4096 * b"["], ids=["number", "nested"]
 )
--- a/src/hibiscushaven/platform/tests/test_store.py
+++ b/src/hibiscushaven/platform/tests/test_store.py
@@ -326,6 +326,60 @@
     run(scenario)
 
 
+# Whether the history is dropped, and how much is written between the read and that.
+HIDDEN = pytest.mark.parametrize(
+    ("is_history_dropped", "writes"),
+    [(False, 0), (True, 0), (True, 1)],
+    ids=["kept", "dropped up to the version read", "dropped beyond it"],
+)
+
+
+async def read_while_hidden(stand_in, read, is_history_dropped, writes):
+    """Read at a version later than all changes, of which the feeds say nothing meanwhile."""
+    stand_in.put("other", "x", {})
+    await read()
+    for _ in range(writes):
+        stand_in.put("other", "x", {})
+    stand_in.show_changes(is_history_dropped=is_history_dropped)
+
+
+@HIDDEN
+def test_hidden_change_of_the_operator_state_is_read_later(is_history_dropped, writes):
+    """Guards against a change that is never read, as a later version was returned without it."""
+
+    async def scenario(stand_in, client):
+        stand_in.put("op", "config", configuration_row(7))
+        known = await client.read_operator(OperatorState(), 0.0)
+        stand_in.hide_changes()
+        stand_in.put("op", "config", configuration_row(8))
+
+        async def read():
+            return await client.read_operator(known, 0.0)
+
+        await read_while_hidden(stand_in, read, is_history_dropped, writes)
+        assert (await read()).configuration.version == 8
+
+    run(scenario)
+
+
+def test_state_from_a_peer_that_is_older_than_a_complete_read_follows_all_changes():
+    """Guards against an evacuation that never ends, as an earlier state was read after its end."""
+
+    async def scenario(stand_in, client):
+        stand_in.put("op", "config", configuration_row(7))
+        known = await client.read_operator(OperatorState(), 0.0)
+        stand_in.put("op", "evacuate/serra-a", {})
+        other = StoreClient(Endpoint("127.0.0.1", stand_in.port))
+        of_peer = await other.read_operator(known, 0.0)
+        await other.close()
+        stand_in.delete("op", "evacuate/serra-a")
+        stand_in.faults.append(Fault.HISTORY_GONE)
+        assert await client.read_operator(known, 0.0) is known
+        assert (await client.read_operator(of_peer, 0.0)).evacuated == frozenset()
+
+    run(scenario)
+
+
 def test_read_older_than_the_known_operator_state_is_an_error():
     """Guards against an old read that counts as a confirmation of what a peer has read since."""
 
