Resume the feed of the servers from the last row that it returned

What callers would see: requests to a server that has left, or no requests to a new one, for as long as its row stays the same.

The version named by a response was taken for that of the copy, although the feed may have hidden changes below it. It also labelled the servers, so that VMs with and without the change had the same version and confirmed each other.

Evidence: a feed that hides a change beside one that it returns, then returns nothing, in the stand-in.

Change: the copy has the version of the newest row that the feed has returned, or of the complete read. A VM that reads only changes can then have an earlier version than one that read everything, for the same servers. The registry ignores such a read as before, but does begin the grace period after an outage by it; the new test of the registry fails without that.

--- a/src/hibiscushaven/discovery/registry.py
+++ b/src/hibiscushaven/discovery/registry.py
@@ -138,13 +138,14 @@
     ) -> bool:
         """Replace the servers by a complete read of the store; return whether any changed.
 
-        A read that is older than the registry, because the store responded late, is ignored.
+        The servers of a read that is older than the registry are ignored. A complete read by a peer
+        may have a later version than the changes that the same servers result from.
 
         :param gap_s: time since the previous read, in seconds.
         """
+        self.on_confirmation(now, gap_s)
         if version < self.version:
             return False
-        self.on_confirmation(now, gap_s)
         by_id = {record.server_id: record for record in records}
         missing = [server_id for server_id in self._servers if server_id not in by_id]
         return self._merge(now, version, by_id, missing)
--- a/src/hibiscushaven/discovery/tests/test_registry.py
+++ b/src/hibiscushaven/discovery/tests/test_registry.py
@@ -94,6 +94,14 @@
     assert registry.servers["s1"].record.is_leaving
 
 
+def test_read_at_an_earlier_version_after_an_outage_begins_a_grace_period():
+    """Guards against servers lost after an outage, as a peer names a later version of them."""
+    registry = make_registry(make_record("s1"), make_record("s2"), version=20)
+    registry.replace_all(6.0, 15, [make_record("s1"), make_record("s2")], gap_s=6.0)
+    registry.replace_all(6.5, 21, [make_record("s1")], gap_s=0.5)
+    assert set(registry.servers) == {"s1", "s2"}
+
+
 @given(st.permutations([3, 7, 11, 15]), st.integers(0, 20))
 def test_complete_updates_in_any_order_leave_the_newest_version(versions, own):
     """Guards against a late update that replaces newer servers."""
--- a/src/hibiscushaven/platform/store.py
+++ b/src/hibiscushaven/platform/store.py
@@ -70,7 +70,7 @@
 class _TableCopy:
     """Rows of a table as of the last read.
 
-    :ivar version: version of the last read, as in ``version_of``; 0 before the first one.
+    :ivar version: version of which the rows are, as in ``version_of``; 0 before the first read.
     :ivar changed_keys: keys that changed and whose rows have not been decoded since.
     """
 
@@ -174,13 +174,16 @@
                 _log_complete_read(copy.table, error)
             else:
                 values = {key: value for key, (value, _) in rows.items()}
-                copy.update(values, max(copy.version, version))
+                copy.update(values, version)
                 return
         values, version = await self._read_all(copy.table)
         copy.replace(values, version)
 
     async def _fetch_changes(self, table: str, after: int, wait_s: float) -> tuple[_Changes, int]:
-        """Return the changed rows since a version, and the version of the store."""
+        """Return the changed rows since a version, and the version up to which they are complete.
+
+        The version that the response names may be later: a feed may hide changes for a time.
+        """
         if self._era > era_of(after):
             raise _ChangesUnknownError(f"last read in era {era_of(after)}, now era {self._era}")
         query = {"Table": table, "after": number_of(after), "WaitMs": round(wait_s * 1000)}
@@ -198,7 +201,7 @@
                 )
                 for row in _of_empty_part(body["Rows"])
             }
-            return rows, version_of(era, int(body["Ver"]))
+            return rows, max((after, *(version for _, version in rows.values())))
         except FIELD_ERRORS as error:
             raise StoreError(f"malformed changes of table {table!r}: {error!r}") from error
 
@@ -228,13 +231,13 @@
         if page_version == version:
             return rows, version
         # The pages are of several versions, whose changes bring all rows to the same one.
-        changes, newest = await self._fetch_changes(table, version, 0.0)
+        changes, version = await self._fetch_changes(table, version, 0.0)
         for key, (value, _) in changes.items():
             if value is None:
                 rows.pop(key, None)
             else:
                 rows[key] = value
-        return rows, max(version, newest)
+        return rows, version
 
     async def _write_rows(self, transaction: Mapping[str, Any]) -> int:
         """Apply a transaction, and return the era in which the store did so."""
--- a/src/hibiscushaven/platform/tests/test_store.py
+++ b/src/hibiscushaven/platform/tests/test_store.py
@@ -362,6 +362,26 @@
     run(scenario)
 
 
+@HIDDEN
+def test_hidden_change_of_the_servers_is_read_later(is_history_dropped, writes):
+    """Guards against a server that is never used, or one that left and is used for good."""
+
+    async def scenario(stand_in, client):
+        stand_in.put("servers", "s1", server_row())
+        await client.read_servers()
+        stand_in.put("servers", "s2", server_row())
+        stand_in.hide_changes()
+        stand_in.put("servers", "s3", server_row())
+        before = await client.read_servers()
+        await read_while_hidden(stand_in, client.read_servers, is_history_dropped, writes)
+        after = await client.read_servers()
+        assert {record.server_id for record in after.records} == {"s1", "s2", "s3"}
+        # VMs whose servers have the same version confirm each other.
+        assert after.version > before.version
+
+    run(scenario)
+
+
 def test_state_from_a_peer_that_is_older_than_a_complete_read_follows_all_changes():
     """Guards against an evacuation that never ends, as an earlier state was read after its end."""
 
