Reject an empty page of a table that more rows should follow

What callers would see: fewer servers, or none, until the next change of each, if the store responds so.

Cause: a page without rows ended a complete read, also if the response says that more rows follow. The rows so far then replaced the copy, and the read counted as a confirmation.

Change: such a response is an error, and the read is repeated after the backoff. The new test fails on the sources before.

--- a/src/hibiscushaven/platform/store.py
+++ b/src/hibiscushaven/platform/store.py
@@ -225,8 +225,10 @@
             except FIELD_ERRORS as error:
                 raise StoreError(f"malformed rows of table {table!r}: {error!r}") from error
             rows |= page
-            if not has_more or not page:
+            if not has_more:
                 break
+            if not page:
+                raise StoreError(f"empty page of table {table!r}, although more rows follow")
             start = max(page) + "\0"
         if page_version == version:
             return rows, version
--- a/src/hibiscushaven/platform/tests/test_store.py
+++ b/src/hibiscushaven/platform/tests/test_store.py
@@ -171,6 +171,20 @@
     run(scenario)
 
 
+def test_empty_page_that_more_rows_follow_is_an_error():
+    """Guards against servers that are taken for removed, as an incomplete read looks complete."""
+
+    async def scenario(stand_in, client):
+        async def read_page(_):
+            return stand_in._respond({"Rows": [], "HasMore": True})
+
+        stand_in._rows_get = read_page
+        with pytest.raises(StoreError):
+            await client.read_servers()
+
+    run(scenario)
+
+
 def test_expired_change_history_causes_a_complete_read():
     """Guards against deleted servers that stay in the copy, since their deletion is not sent."""
 
