Test how often quiet tables are read whole

The resume points stay where they are while nothing changes, so that the store may have dropped the history since. One complete read must then suffice until that happens again: at most one refused and one complete read for each span of the history (20 s), table and region, which is computed, not measured.

--- a/src/hibiscushaven/platform/tests/test_store.py
+++ b/src/hibiscushaven/platform/tests/test_store.py
@@ -396,6 +396,26 @@
     run(scenario)
 
 
+def test_quiet_tables_are_read_whole_once_when_the_history_has_expired():
+    """Guards against a complete read in place of each read of the changes."""
+
+    async def scenario(stand_in, client):
+        stand_in.put("op", "config", configuration_row(7))
+        stand_in.put("servers", "s1", server_row())
+        known = await client.read_operator(OperatorState(), 0.0)
+        await client.read_servers()
+        stand_in.put("other", "x", {})
+        stand_in.show_changes(is_history_dropped=True)
+        stand_in.calls.clear()
+        for _ in range(3):
+            assert await client.read_operator(known, 0.0) is known
+        for _ in range(3):
+            assert await read_ids(client) == {"s1"}
+        assert stand_in.calls == 2 * ["rows-feed", "rows-get", "rows-feed", "rows-feed"]
+
+    run(scenario)
+
+
 def test_state_from_a_peer_that_is_older_than_a_complete_read_follows_all_changes():
     """Guards against an evacuation that never ends, as an earlier state was read after its end."""
 
