--- a/src/hibiscushaven/platform/store.py
+++ b/src/hibiscushaven/platform/store.py
@@ -70,7 +70,7 @@
 class _TableCopy:
     """Rows of a table as of the last read.
 
-    :ivar version: version of the last read, as in ``version_of``; 0 before the first one.
+    :ivar version: version of which the rows are, as in ``version_of``; 0 before the first read.
     :ivar changed_keys: keys that changed and whose rows have not been decoded since.
     """
 
@@ -112,8 +112,8 @@
         self._url = f"http://{address}"
         self._session: aiohttp.ClientSession | None = None
         self._servers = _TableCopy(_SERVERS_TABLE)
-        # Version up to which the operator's state has been read, with or without changes.
-        self._operator_read_version = 0
+        # Version of the operator's state that the last complete read returned, and of that read.
+        self._operator_read_whole = 0, 0
         self._records: dict[str, ServerRecord] = {}
         # Latest era of all responses; 0 before the first one.
         self._era = 0
@@ -121,19 +121,21 @@
 
     async def read_operator(self, known: OperatorState, wait_s: float) -> OperatorState:
         if known.version:
-            after = max(known.version, self._operator_read_version)
+            # An empty response is no proof that its version has no change: feeds may hide changes.
+            state_version, read_version = self._operator_read_whole
+            after = read_version if known.version == state_version else known.version
             try:
-                rows, version = await self._fetch_changes(_OPERATOR_TABLE, after, wait_s)
+                rows, _ = await self._fetch_changes(_OPERATOR_TABLE, after, wait_s)
             except _ChangesUnknownError as error:
                 _log_complete_read(_OPERATOR_TABLE, error)
             else:
-                self._operator_read_version = max(after, version)
                 return _with_changes(known, rows)
         values, version = await self._read_all(_OPERATOR_TABLE)
         if version < known.version:
             raise StoreError(f"read at {_describe(version)}, known is {_describe(known.version)}")
-        self._operator_read_version = version
-        return _as_of(version, values, known)
+        state = _as_of(version, values, known)
+        self._operator_read_whole = state.version, version
+        return state
 
     async def read_servers(self) -> ServerListing:
         copy = self._servers
@@ -172,13 +174,16 @@
                 _log_complete_read(copy.table, error)
             else:
                 values = {key: value for key, (value, _) in rows.items()}
-                copy.update(values, max(copy.version, version))
+                copy.update(values, version)
                 return
         values, version = await self._read_all(copy.table)
         copy.replace(values, version)
 
     async def _fetch_changes(self, table: str, after: int, wait_s: float) -> tuple[_Changes, int]:
-        """Return the changed rows since a version, and the version of the store."""
+        """Return the changed rows since a version, and the version up to which they are complete.
+
+        The version that the response names may be later: a feed may hide changes for a time.
+        """
         if self._era > era_of(after):
             raise _ChangesUnknownError(f"last read in era {era_of(after)}, now era {self._era}")
         query = {"Table": table, "after": number_of(after), "WaitMs": round(wait_s * 1000)}
@@ -196,7 +201,7 @@
                 )
                 for row in _of_empty_part(body["Rows"])
             }
-            return rows, version_of(era, int(body["Ver"]))
+            return rows, max((after, *(version for _, version in rows.values())))
         except FIELD_ERRORS as error:
             raise StoreError(f"malformed changes of table {table!r}: {error!r}") from error
 
@@ -220,19 +225,21 @@
             except FIELD_ERRORS as error:
                 raise StoreError(f"malformed rows of table {table!r}: {error!r}") from error
             rows |= page
-            if not has_more or not page:
+            if not has_more:
                 break
+            if not page:
+                raise StoreError(f"empty page of table {table!r}, although more rows follow")
             start = max(page) + "\0"
         if page_version == version:
             return rows, version
         # The pages are of several versions, whose changes bring all rows to the same one.
-        changes, newest = await self._fetch_changes(table, version, 0.0)
+        changes, version = await self._fetch_changes(table, version, 0.0)
         for key, (value, _) in changes.items():
             if value is None:
                 rows.pop(key, None)
             else:
                 rows[key] = value
-        return rows, max(version, newest)
+        return rows, version
 
     async def _write_rows(self, transaction: Mapping[str, Any]) -> int:
         """Apply a transaction, and return the era in which the store did so."""
--- a/src/hibiscushaven/platform/tests/test_store.py
+++ b/src/hibiscushaven/platform/tests/test_store.py
@@ -171,6 +171,20 @@
     run(scenario)
 
 
+def test_empty_page_that_more_rows_follow_is_an_error():
+    """Guards against servers that are taken for removed, as an incomplete read looks complete."""
+
+    async def scenario(stand_in, client):
+        async def read_page(_):
+            return stand_in._respond({"Rows": [], "HasMore": True})
+
+        stand_in._rows_get = read_page
+        with pytest.raises(StoreError):
+            await client.read_servers()
+
+    run(scenario)
+
+
 def test_expired_change_history_causes_a_complete_read():
     """Guards against deleted servers that stay in the copy, since their deletion is not sent."""
 
@@ -326,6 +340,100 @@
     run(scenario)
 
 
+# Whether the history is dropped, and how much is written between the read and that.
+HIDDEN = pytest.mark.parametrize(
+    ("is_history_dropped", "writes"),
+    [(False, 0), (True, 0), (True, 1)],
+    ids=["kept", "dropped up to the version read", "dropped beyond it"],
+)
+
+
+async def read_while_hidden(stand_in, read, is_history_dropped, writes):
+    """Read at a version later than all changes, of which the feeds say nothing meanwhile."""
+    stand_in.put("other", "x", {})
+    await read()
+    for _ in range(writes):
+        stand_in.put("other", "x", {})
+    stand_in.show_changes(is_history_dropped=is_history_dropped)
+
+
+@HIDDEN
+def test_hidden_change_of_the_operator_state_is_read_later(is_history_dropped, writes):
+    """Guards against a change that is never read, as a later version was returned without it."""
+
+    async def scenario(stand_in, client):
+        stand_in.put("op", "config", configuration_row(7))
+        known = await client.read_operator(OperatorState(), 0.0)
+        stand_in.hide_changes()
+        stand_in.put("op", "config", configuration_row(8))
+
+        async def read():
+            return await client.read_operator(known, 0.0)
+
+        await read_while_hidden(stand_in, read, is_history_dropped, writes)
+        assert (await read()).configuration.version == 8
+
+    run(scenario)
+
+
+@HIDDEN
+def test_hidden_change_of_the_servers_is_read_later(is_history_dropped, writes):
+    """Guards against a server that is never used, or one that left and is used for good."""
+
+    async def scenario(stand_in, client):
+        stand_in.put("servers", "s1", server_row())
+        await client.read_servers()
+        stand_in.put("servers", "s2", server_row())
+        stand_in.hide_changes()
+        stand_in.put("servers", "s3", server_row())
+        before = await client.read_servers()
+        await read_while_hidden(stand_in, client.read_servers, is_history_dropped, writes)
+        after = await client.read_servers()
+        assert {record.server_id for record in after.records} == {"s1", "s2", "s3"}
+        # VMs whose servers have the same version confirm each other.
+        assert after.version > before.version
+
+    run(scenario)
+
+
+def test_quiet_tables_are_read_whole_once_when_the_history_has_expired():
+    """Guards against a complete read in place of each read of the changes."""
+
+    async def scenario(stand_in, client):
+        stand_in.put("op", "config", configuration_row(7))
+        stand_in.put("servers", "s1", server_row())
+        known = await client.read_operator(OperatorState(), 0.0)
+        await client.read_servers()
+        stand_in.put("other", "x", {})
+        stand_in.show_changes(is_history_dropped=True)
+        stand_in.calls.clear()
+        for _ in range(3):
+            assert await client.read_operator(known, 0.0) is known
+        for _ in range(3):
+            assert await read_ids(client) == {"s1"}
+        assert stand_in.calls == 2 * ["rows-feed", "rows-get", "rows-feed", "rows-feed"]
+
+    run(scenario)
+
+
+def test_state_from_a_peer_that_is_older_than_a_complete_read_follows_all_changes():
+    """Guards against an evacuation that never ends, as an earlier state was read after its end."""
+
+    async def scenario(stand_in, client):
+        stand_in.put("op", "config", configuration_row(7))
+        known = await client.read_operator(OperatorState(), 0.0)
+        stand_in.put("op", "evacuate/serra-a", {})
+        other = StoreClient(Endpoint("127.0.0.1", stand_in.port))
+        of_peer = await other.read_operator(known, 0.0)
+        await other.close()
+        stand_in.delete("op", "evacuate/serra-a")
+        stand_in.faults.append(Fault.HISTORY_GONE)
+        assert await client.read_operator(known, 0.0) is known
+        assert (await client.read_operator(of_peer, 0.0)).evacuated == frozenset()
+
+    run(scenario)
+
+
 def test_read_older_than_the_known_operator_state_is_an_error():
     """Guards against an old read that counts as a confirmation of what a peer has read since."""
 
