Let a region that the store refuses follow the other regions

What callers saw: while the store refused all VMs of a region (503, 429, reset or silence) and served the other regions and the operator, requests to that region were handled by the older configuration and sent to removed backend servers, until one of its VMs could read again; also after the store was restored from a copy.

Cause: VMs compared the versions of operator state and backend servers with VMs of their own region only.

Now a VM whose backend servers no read has confirmed for 1 s takes note of newer versions in other regions. The first in the order of the readers pulls them, each further one 0.5 s later, and the others follow it by the pulls within the region. Versions of all regions are those of one store, so that they are ordered as within a region. What is pulled counts as confirmed by the read of its source. Equal versions confirm nothing across regions: each message makes a read appear later by its delay, so that regions that read nothing would keep each other's data fresh.

States carry versions to all regions already. Digests of large regions carry them now in fields that they had; decode such a digest and ignore its versions.

While all regions read, no pull crosses regions.

--- a/src/hibiscushaven/fleet/view.py
+++ b/src/hibiscushaven/fleet/view.py
@@ -287,6 +287,11 @@
         """Return all other VMs, up or down."""
         return [peer.state for peer in self._peers.values()]
 
+    def peers_at_of(self, name: str) -> str:
+        """Return the address of another VM for messages, empty if it is unknown."""
+        peer = self._peers.get(name)
+        return peer.state.peers_at if peer is not None else ""
+
     def known_local_peers(self) -> list[VmState]:
         """Return the other VMs of the own region, up or down."""
         return [peer.state for peer in self._local_peers()]
--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -53,6 +53,7 @@
 from .rate_limit_exchange import RateLimitExchange
 from .reader import StoreReader
 from .relay_peers import choose_relay_peers
+from .remote_versions import REGION_READ_TIMEOUT_S, RemoteVersions
 from .state_change_logger import StateChangeLogger
 from .sync_reporter import SyncReporter
 
@@ -222,6 +223,7 @@
         self._sent_to_all_at = -1e6
         self._state_sent_at = -1e6
         self._has_diverged = False
+        self._remote_versions = RemoteVersions()
         self._newest_operator_version = 0
         self._newer_operator_seen_at = float("-inf")
         self._newest_servers_version = 0
@@ -398,6 +400,8 @@
         self._lost_servers.report(now, message.lost_server_ages_s)
         if message.region == self._options.region:
             self._compare_versions(now, message.name, message)
+        else:
+            self._compare_remote_versions(now, message.name, message)
 
     def _on_digest(self, now: float, digest: RegionDigest) -> None:
         is_accepted = self.view.on_digest(now, digest)
@@ -406,6 +410,8 @@
             self._reporter.digest_received(is_accepted)
             # A VM that was cut off accepts digests only once their sender has heard of it.
             self._compare_versions(now, digest.sender, digest)
+        else:
+            self._compare_remote_versions(now, digest.sender, digest)
         if not is_accepted:
             return
         if is_local:
@@ -419,18 +425,36 @@
             self._reader.confirm_operator(now - state.operator_age_s)
         if state.servers_version == self.registry.version:
             self._confirm_servers(now, now - state.servers_age_s)
+        if self._note_newer_versions(now, state):
+            self._puller.start(name, state.peers_at)
+
+    def _compare_remote_versions(
+        self, now: float, name: str, state: VmState | RegionDigest
+    ) -> None:
+        """Fetch newer data from a VM of another region while no VM of the own one reads the store.
+
+        Equal versions confirm nothing: each message makes a read appear later by its delay, so
+        that regions that read nothing would keep confirming each other's data.
+        """
+        if self._reader.servers_unread_s(self._pauses.resumed_at) <= REGION_READ_TIMEOUT_S:
+            return
+        address = state.peers_at or self.view.peers_at_of(name)
+        if not (self._note_newer_versions(now, state) and address):
+            return
+        held = self._operator.version, self.registry.version
+        if self._remote_versions.is_pull_due(now, held, self._reader_rank(self._reader.can_read)):
+            self._puller.start(name, address)
+
+    def _note_newer_versions(self, now: float, state: VmState | RegionDigest) -> bool:
+        """Record the versions of another VM; return whether any is newer than those held here."""
         self._newest_operator_version = max(self._newest_operator_version, state.operator_version)
         if state.servers_version > self._newest_servers_version:
             self._newest_servers_version = state.servers_version
             self._newest_servers_read_at = now - state.servers_age_s
-        is_peer_newer = (
-            state.operator_version > self._operator.version
-            or state.servers_version > self.registry.version
-        )
-        if state.operator_version > self._operator.version:
+        is_operator_newer = state.operator_version > self._operator.version
+        if is_operator_newer:
             self._newer_operator_seen_at = now
-        if is_peer_newer:
-            self._puller.start(name, state.peers_at)
+        return is_operator_newer or state.servers_version > self.registry.version
 
     def _observing_since(self) -> float:
         """Return since when this VM would have heard of reads by the others of its region."""
@@ -700,7 +724,10 @@
             return
         digest = self._digest(now)
         if self.view.is_aggregating(now):
-            digest = replace(digest, sequences=self.view.sequences(now))
+            # The VMs of a small region send their versions to all regions themselves.
+            digest = replace(
+                digest, sequences=self.view.sequences(now), **self._version_fields(now)
+            )
         self._broadcasts.send(encode(digest), recipients)
 
     async def _send_local_digests(self) -> None:
--- a/src/hibiscushaven/gateway/reader.py
+++ b/src/hibiscushaven/gateway/reader.py
@@ -116,6 +116,15 @@
             return 0.0
         return max(0.0, read_at - max(self._servers_confirmed_at, self._observing_since()))
 
+    def servers_unread_s(self, observing_since: float) -> float:
+        """Return the time for which no VM has read the servers; 0 before this VM starts to.
+
+        :param observing_since: time since which this VM has processed messages.
+        """
+        if self._started_at == _NEVER:
+            return 0.0
+        return self._now() - max(self._servers_confirmed_at, self._started_at, observing_since)
+
     def start(self) -> None:
         """Start the read loops."""
         self._started_at = self._now()
--- a/src/hibiscushaven/gateway/tests/simulated_region.py
+++ b/src/hibiscushaven/gateway/tests/simulated_region.py
@@ -114,6 +114,7 @@
 
     async def pull(self, address, operator_version, servers_version, timeout_s):
         peer = self._region.name_at(address)
+        self._region.pulls.append((self._name, peer))
         async with asyncio.timeout(timeout_s):
             await asyncio.sleep(3 * self._delay_s(peer))
             await self._region.wait_until_running(peer)
@@ -146,6 +147,7 @@
     :ivar cut_vms: names of the VMs that cannot reach the store.
     :ivar is_store_down: whether no VM can reach the store.
     :ivar registered: names of the VMs that have registered, in order.
+    :ivar pulls: pairs of VMs of which the first one has fetched data from the second, in order.
     """
 
     def __init__(self, size):
@@ -154,6 +156,7 @@
         self.listing = ServerListing(10, (make_record("s1"), make_record("s2")))
         self.nodes = {}
         self.registered = []
+        self.pulls = []
         self.interrupted = set()
         self.cut_vms = set()
         self.is_store_down = False
