Ignore fields that only later builds know in messages of VMs

A VM dropped each state, digest, pull and sync response with more fields than it knows, so that no field could be added without cutting VMs of two builds off from each other during an upgrade (`malformed datagram dropped`, "takes from 8 to 22 positional arguments but 24 were given").

Messages are lists of fields in a fixed order. Items behind the known ones are now ignored; all known ones are validated as before. Builds before this one still drop such messages.

The new test fails on the sources before.

--- a/src/hibiscushaven/fleet/messages.py
+++ b/src/hibiscushaven/fleet/messages.py
@@ -253,7 +253,7 @@
 
 
 def decode(datagram: bytes) -> Message:
-    """Return the message of a datagram.
+    """Return the message of a datagram, without the fields that only later builds know.
 
     :raises MessageError: when the datagram is malformed or of another format.
     """
@@ -261,7 +261,8 @@
         items: Any = msgpack.unpackb(datagram, strict_map_key=False)
         if items[0] != _FORMAT_VERSION:
             raise MessageError(f"format {items[0]!r}, expected {_FORMAT_VERSION}")
-        return _validated(_TYPES[items[1]](*items[2:]))
+        message_type = _TYPES[items[1]]
+        return _validated(message_type(*items[2 : 2 + len(fields(message_type))]))
     except (ValueError, TypeError, IndexError, KeyError, msgpack.UnpackException) as error:
         raise MessageError(f"malformed datagram of {len(datagram)} bytes: {error!r}") from error
 
--- a/src/hibiscushaven/fleet/sync.py
+++ b/src/hibiscushaven/fleet/sync.py
@@ -47,20 +47,20 @@
 
 
 def decode_sync_response(now: float, items: Any) -> SyncResponse:
-    """Return the response in an unpacked message.
+    """Return the response in an unpacked message, without items that only later builds know.
 
     :raises MessageError: when the message is malformed.
     """
     try:
-        operator_items, servers_items = items
+        operator_items, servers_items, *_ = items
         operator = None
         if operator_items is not None:
-            revision, configuration, evacuated = operator_items
+            revision, configuration, evacuated, *_ = operator_items
             parsed = configuration_from_list(configuration) if configuration is not None else None
             operator = OperatorState(revision, parsed, frozenset(evacuated))
         servers = None
         if servers_items is not None:
-            version, listed, base, removed, checksum = servers_items
+            version, listed, base, removed, checksum, *_ = servers_items
             listed_servers = [_decode_server(now, item) for item in listed]
             by_id = {server.record.server_id: server for server in listed_servers}
             base = None if base is None else int(base)
@@ -101,6 +101,7 @@
         started,
         cold_for_s,
         expires_in_s,
+        *_,
     ) = items
     address = Endpoint(host, port)
     record = ServerRecord(
--- a/src/hibiscushaven/fleet/tests/test_fleet.py
+++ b/src/hibiscushaven/fleet/tests/test_fleet.py
@@ -256,3 +256,16 @@
     """Guards against one message that makes each later send of a state fail."""
     with pytest.raises(MessageError):
         decode(encode(make_state(**fields)))
+
+
+def test_fields_of_later_builds_are_ignored():
+    """Guards against VMs that drop the messages of newer ones during an upgrade."""
+    import msgpack
+
+    state, response = make_state(in_progress={TOKEN: 3}), make_sync_response()
+    later = msgpack.packb([*msgpack.unpackb(encode(state), strict_map_key=False), "new", 1])
+    assert decode(later) == state
+    operator, servers = msgpack.unpackb(encode_sync_response(0.0, response))
+    servers[1] = [[*item, "new"] for item in servers[1]]
+    later_items = [[*operator, "new"], [*servers, "new"], "new"]
+    assert decode_sync_response(0.0, later_items) == response
--- a/src/hibiscushaven/fleet/transport.py
+++ b/src/hibiscushaven/fleet/transport.py
@@ -106,7 +106,7 @@
         self._writers.add(writer)
         try:
             async with asyncio.timeout(_SERVE_PULL_TIMEOUT_S):
-                operator_version, servers_version = await _read_message(reader)
+                operator_version, servers_version, *_ = await _read_message(reader)
                 response = self._on_pull(int(operator_version), int(servers_version))
                 writer.write(encode_sync_response(self._clock(), response))
                 await writer.drain()
