Ignore backend servers whose address has a zone

Cause: an address with a zone is resolved like the name of a host. A long or empty label raises UnicodeError, and an "@" makes the URL invalid. Neither is an error of a connection, so the attempt is neither repeated nor held against the server.

An address without a zone is numeric and never resolved, so that all errors of its connections are OSErrors.

--- a/src/hibiscushaven/platform/decode.py
+++ b/src/hibiscushaven/platform/decode.py
@@ -22,6 +22,7 @@
     "DecodeError",
     "decode_configuration",
     "decode_server",
+    "parse_address",
     "parse_duration_s",
     "parse_json",
 ]
@@ -161,7 +162,7 @@
         return ServerRecord(
             server_id=server_id,
             service=_checked_name(info["Service"]),
-            address=_parse_address(body["Address"]),
+            address=parse_address(body["Address"]),
             failure_domain=_checked_name(info["Zone"]),
             slots=_checked_count(info["Concurrency"]),
             is_leaving=state == "draining",
@@ -203,5 +204,13 @@
     return value
 
 
-def _parse_address(value: Any) -> Endpoint:
-    return _ENDPOINT.parse(_checked_name(value))
+def parse_address(value: Any) -> Endpoint:
+    """Return the address in a text such as ``10.0.0.9:8080``.
+
+    :raises ValueError: when it is malformed, or has a zone as in ``[fe80::1%eth0]:80``.
+    """
+    address = _ENDPOINT.parse(_checked_name(value))
+    # Any text may be a zone. Names of hosts are resolved by other rules, and by other errors.
+    if "%" in address.host:
+        raise ValueError(f"{address} has a zone")
+    return address
--- a/src/hibiscushaven/platform/tests/test_decode.py
+++ b/src/hibiscushaven/platform/tests/test_decode.py
@@ -67,6 +67,11 @@
     [
         {"Address": "nowhere"},
         {"Address": None},
+        {"Address": "10.0.0.9:0"},
+        {"Address": "10.0.0.9:65536"},
+        {"Address": "10.0.0.9:\u0668\u0660"},
+        {"Address": "[::1%\0]:80"},
+        {"Address": "[::1%" + 100 * "a" + "]:80"},
         {"Info": {}},
         {"Status": {"State": "asleep"}},
         {"born": "yesterday"},
--- a/src/hibiscushaven/platform/tests/test_gateway.py
+++ b/src/hibiscushaven/platform/tests/test_gateway.py
@@ -453,3 +453,18 @@
         await asyncio.gather(deployment.daemon.stop(), other.stop())
 
     run(scenario)
+
+
+@pytest.mark.parametrize("zone", [100 * "a", "a..b", "@"])
+def test_server_whose_address_has_a_zone_gets_no_request(zone):
+    """Guards against requests that fail by an error that only a name of a host raises."""
+
+    async def scenario(deployment):
+        store, registry = deployment.store, deployment.daemon.node.registry
+        store.put("servers", "odd", server_row(address=f"[::1%{zone}]:80"))
+        store.put("servers", "i-2", server_row(service="other"))
+        await wait_until(lambda: "i-2" in registry.servers)
+        assert [(await deployment.request())[0] for _ in range(8)] == 8 * [200]
+        await deployment.daemon.stop()
+
+    run(scenario, *8 * [response()])
