Ignore addresses of VMs that no message can be sent to

Callers would see: a VM that starts beside the row "[::1%\0]:7000" in the table of the VMs sends and receives no message from then on, and knows no other VM. So do all VMs that register again once the store was restored from a copy.

Cause: the address was accepted, as any text may be the zone of an IPv6 address. sendto() raises TypeError for it, after which asyncio closes the socket for good. Other IPv6 addresses were looked up as names, in brackets, while the event loop waited.

How long a look-up may take was not measured.

Messages go to IPv4 addresses only, which are numeric, so that no address from the store raises anything but OSError. IPv6 addresses of VMs have never worked.

--- a/src/hibiscushaven/platform/store.py
+++ b/src/hibiscushaven/platform/store.py
@@ -15,7 +15,7 @@
 from hibiscushaven.discovery import ServerRecord
 from hibiscushaven.eras import MAX_ERA, era_of, number_of, version_of
 from hibiscushaven.gateway import ServerListing, StoreError, VmAddress
-from hibiscushaven.ini.fields import Endpoint, endpoint
+from hibiscushaven.ini.fields import Endpoint
 from hibiscushaven.process import socket_factory
 from hibiscushaven.routing import Configuration, OperatorState
 
@@ -24,6 +24,7 @@
     DecodeError,
     decode_configuration,
     decode_server,
+    parse_address,
     parse_json,
 )
 
@@ -55,8 +56,6 @@
 _ERA_HEADER = "Store-Era"
 _ERA = re.compile(r"[0-9]{1,7}")
 
-_ENDPOINT = endpoint()
-
 
 class _ChangesUnknownError(StoreError):
     """The store does not have all changes since the last read, or counts in another era."""
@@ -372,7 +371,11 @@
 def _decode_vms(rows: Mapping[str, bytes]) -> Iterator[VmAddress]:
     for name, value in rows.items():
         try:
-            yield VmAddress(name, str(_ENDPOINT.parse(value.decode("ascii"))))
+            address = parse_address(value.decode("ascii"))
+            # Messages are sent without a look-up of names, which an address in brackets needs.
+            if ":" in address.host:
+                raise ValueError(f"{address} is not of IPv4")
+            yield VmAddress(name, str(address))
         except ValueError as error:
             _LOG.warning(
                 "malformed address of a VM ignored", extra={"vm": name, "why": repr(error)}
--- a/src/hibiscushaven/platform/tests/test_gateway.py
+++ b/src/hibiscushaven/platform/tests/test_gateway.py
@@ -468,3 +468,15 @@
         await deployment.daemon.stop()
 
     run(scenario, *8 * [response()])
+
+
+def test_vm_meets_the_others_beside_an_address_that_cannot_be_sent_to():
+    """Guards against a VM whose socket for messages is closed for good by an odd row."""
+
+    async def scenario(deployment):
+        deployment.store.put("vms", "odd", b"[::1%\0]:7000")
+        other = await deployment.start_other_gateway()
+        await wait_for_peer(deployment, other)
+        await asyncio.gather(deployment.daemon.stop(), other.stop())
+
+    run(scenario)
--- a/src/hibiscushaven/platform/tests/test_store.py
+++ b/src/hibiscushaven/platform/tests/test_store.py
@@ -124,11 +124,14 @@
     run(scenario)
 
 
-def test_malformed_address_of_a_vm_is_ignored():
+@pytest.mark.parametrize(
+    "value", [b"nowhere", b"10.0.0.1:65536", b"[::1%\0]:7000", b"[::1]:7000", 4096 * b"["]
+)
+def test_malformed_address_of_a_vm_is_ignored(value):
     """Guards against a row that keeps a VM from announcing itself to the others."""
 
     async def scenario(stand_in, client):
-        stand_in.put("vms", "vm-1", b"nowhere")
+        stand_in.put("vms", "vm-1", value)
         stand_in.put("vms", "vm-2", b"10.0.0.2:7000")
         assert await client.list_vms() == (VmAddress("vm-2", "10.0.0.2:7000"),)
 
