Ignore backend servers with more slots than a server can have

Cause: only numbers that do not fit into messages between VMs were rejected, and Sequence was not looked at.

Evidence: three cases of test_server_with_an_invalid_field_is_rejected failed on the commit before and pass now.

Slots divide the load of a server in all costs, so that a bound on them bounds how far one entry can distort the choice.

--- a/src/hibiscushaven/platform/decode.py
+++ b/src/hibiscushaven/platform/decode.py
@@ -37,6 +37,10 @@
 # Largest integer that messages between VMs can carry.
 _MAX_INTEGER = 2**63 - 1
 
+# Largest number of slots of a server. One with many more than the others would get nearly all
+# requests, and hide that the others of its region are busy.
+_MAX_SLOTS = 10_000
+
 # Raised by Python for fields that are missing, of another type or out of range.
 FIELD_ERRORS = (
     ArithmeticError,
@@ -159,6 +163,7 @@
         state = status["State"]
         if state not in ("ready", "draining"):
             raise ValueError(f"unknown state {state!r}")
+        _checked_whole(status.get("Sequence", 0))
         return ServerRecord(
             server_id=server_id,
             service=_checked_name(info["Service"]),
@@ -167,7 +172,7 @@
             slots=_checked_count(info["Concurrency"]),
             is_leaving=state == "draining",
             cold_left_s=max(0.0, parse_duration_s(status.get("WarmupLeft", "0ms"))),
-            started_unix_ms=_checked_start_ms(body.get("born", 0)),
+            started_unix_ms=_checked_whole(body.get("born", 0)),
         )
     except FIELD_ERRORS as error:
         raise DecodeError(f"malformed backend server {server_id!r}: {error!r}") from error
@@ -182,19 +187,19 @@
 
 
 def _checked_count(value: Any) -> int:
-    return _checked_integer(value, 1)
+    return _checked_integer(value, 1, _MAX_SLOTS)
 
 
-def _checked_start_ms(value: Any) -> int:
+def _checked_whole(value: Any) -> int:
     # JSON encoders may write a whole number with an exponent or a fraction of zero.
     is_whole = isinstance(value, float) and value.is_integer()
     return _checked_integer(int(value) if is_whole else value, 0)
 
 
-def _checked_integer(value: Any, minimum: int) -> int:
+def _checked_integer(value: Any, minimum: int, maximum: int = _MAX_INTEGER) -> int:
     is_integer = isinstance(value, int) and not isinstance(value, bool)
-    if not is_integer or not minimum <= value <= _MAX_INTEGER:
-        raise ValueError(f"{value!r} is not an integer from {minimum} to {_MAX_INTEGER}")
+    if not is_integer or not minimum <= value <= maximum:
+        raise ValueError(f"{value!r} is not an integer from {minimum} to {maximum}")
     return value
 
 
--- a/src/hibiscushaven/platform/tests/test_decode.py
+++ b/src/hibiscushaven/platform/tests/test_decode.py
@@ -76,6 +76,9 @@
         {"Status": {"State": "asleep"}},
         {"born": "yesterday"},
         {"Info": {"Service": "s", "Zone": "z", "Concurrency": "4"}},
+        {"Info": {"Service": "s", "Zone": "z", "Concurrency": 2**62}},
+        {"Status": {"State": "ready", "Sequence": "1"}},
+        {"Status": {"State": "ready", "Sequence": 2**64}},
     ],
 )
 def test_server_with_an_invalid_field_is_rejected(change):
