Shorten the errors of rows and responses of the store

Callers would see: nothing. Log lines on an odd entry grew with the entry: up to some 240 kB for 60,000 bytes that are not UTF-8, close to what the log buffers, and such lines drop others.

Cause: the text of a UnicodeDecodeError quotes all bytes, and others quote the value, which was bounded by the size of a row only.

The errors of both modules are written by one function that limits their length.

--- a/src/hibiscushaven/platform/decode.py
+++ b/src/hibiscushaven/platform/decode.py
@@ -22,6 +22,7 @@
     "DecodeError",
     "decode_configuration",
     "decode_server",
+    "describe",
     "parse_address",
     "parse_duration_s",
     "parse_json",
@@ -52,10 +53,28 @@
 )
 
 
+# Longest description of an error, which may quote a whole row.
+_MAX_DESCRIPTION = 200
+
+
 class DecodeError(Exception):
     """A row is malformed."""
 
 
+def describe(error: Exception) -> str:
+    """Return the type and the start of the text of an error, for log lines.
+
+    Examples
+    ========
+
+    >>> describe(ValueError("no number")), len(describe(ValueError(10_000 * "9")))
+    ("ValueError('no number')", 203)
+
+    """
+    text = repr(error)
+    return text if len(text) <= _MAX_DESCRIPTION else f"{text[:_MAX_DESCRIPTION]}..."
+
+
 def parse_json(content: bytes) -> Any:
     """Return the value of a JSON text.
 
@@ -64,7 +83,7 @@
     try:
         return json.loads(content)
     except FIELD_ERRORS as error:
-        raise DecodeError(f"{content[:80]!r} is not valid JSON: {error!r}") from error
+        raise DecodeError(f"{describe(error)} in JSON {content[:80]!r}") from error
 
 
 def parse_duration_s(text: str) -> float:
@@ -102,7 +121,7 @@
             limits[0] if limits else CallerLimits(),
         )
     except FIELD_ERRORS as error:
-        raise DecodeError(f"malformed configuration: {error!r}") from error
+        raise DecodeError(f"malformed configuration: {describe(error)}") from error
 
 
 def _of_kind(resources: Iterable[Mapping[str, Any]], kind: str) -> Iterable[Mapping[str, Any]]:
@@ -175,7 +194,8 @@
             started_unix_ms=_checked_whole(body.get("born", 0)),
         )
     except FIELD_ERRORS as error:
-        raise DecodeError(f"malformed backend server {server_id!r}: {error!r}") from error
+        text = f"malformed backend server {server_id[:80]!r}: {describe(error)}"
+        raise DecodeError(text) from error
 
 
 def _checked_name(value: Any) -> str:
--- a/src/hibiscushaven/platform/store.py
+++ b/src/hibiscushaven/platform/store.py
@@ -24,6 +24,7 @@
     DecodeError,
     decode_configuration,
     decode_server,
+    describe,
     parse_address,
     parse_json,
 )
@@ -197,7 +198,7 @@
             }
             return rows, version_of(era, int(body["Ver"]))
         except FIELD_ERRORS as error:
-            raise StoreError(f"malformed changes of table {table!r}: {error!r}") from error
+            raise StoreError(f"malformed changes of table {table!r}: {describe(error)}") from error
 
     async def _read_all(self, table: str) -> tuple[dict[str, bytes], int]:
         """Return all rows as of one version of the store."""
@@ -217,7 +218,7 @@
                 version = version or page_version
                 has_more = bool(body["HasMore"])
             except FIELD_ERRORS as error:
-                raise StoreError(f"malformed rows of table {table!r}: {error!r}") from error
+                raise StoreError(f"malformed rows of table {table!r}: {describe(error)}") from error
             rows |= page
             if not has_more or not page:
                 break
@@ -262,7 +263,7 @@
                 return parse_json(content), self._accept_era(response.headers.get(_ERA_HEADER))
         except (aiohttp.ClientError, OSError, ValueError, DecodeError) as error:
             # TimeoutError is an OSError.
-            raise StoreError(f"{path}: {error!r}") from error
+            raise StoreError(f"{path}: {describe(error)}") from error
 
     def _accept_era(self, value: str | None) -> int:
         """Return the era of a response.
@@ -364,7 +365,9 @@
     try:
         return base64.b64decode(row["Value"])
     except (binascii.Error, KeyError, TypeError, ValueError) as error:
-        _LOG.warning("unreadable value of a row", extra={"key": _key_of(row), "why": repr(error)})
+        _LOG.warning(
+            "unreadable value of a row", extra={"key": _key_of(row), "why": describe(error)}
+        )
         return b""
 
 
@@ -378,7 +381,7 @@
             yield VmAddress(name, str(address))
         except ValueError as error:
             _LOG.warning(
-                "malformed address of a VM ignored", extra={"vm": name, "why": repr(error)}
+                "malformed address of a VM ignored", extra={"vm": name, "why": describe(error)}
             )
 
 
--- a/src/hibiscushaven/platform/tests/test_decode.py
+++ b/src/hibiscushaven/platform/tests/test_decode.py
@@ -118,3 +118,19 @@
 def test_start_time_may_be_a_whole_number_with_an_exponent():
     """Guards against servers that are left out for the form of their start time."""
     assert decode_server("s1", {**server_row(), "born": 1.7e12}).started_unix_ms == 1700000000000
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        b"\xff" + 60_000 * b"x",
+        b'{"Address": "' + 60_000 * b"x" + b'"}',
+        b'{"Status": {"State": ' + 400 * b'{"State":' + b"1" + 402 * b"}",
+        b'{"born": 1' + 4000 * b"0" + b"}",
+    ],
+)
+def test_error_of_an_unreadable_server_is_short(text):
+    """Guards against log lines as long as the rows of another writer."""
+    with pytest.raises(DecodeError) as caught:
+        decode_server("s1", {**server_row(), **parse_json(text)})
+    assert len(str(caught.value)) < 500
