Read the rows beside one whose key is unreadable

Callers would see: a row without a key, or with one that is no text, makes each read of its table fail, so that servers that left keep getting requests. With the key "evacuate/\ud800", the VMs cannot fetch the operator's state from each other.

Cause: the key was checked for the response as a whole, and only for its type. A lone surrogate cannot be encoded, neither in messages nor in the query for the next page.

Rows are filtered by their own key before anything else uses it. A response whose rows are no list of objects stays an error, since taking it for an empty table would remove all servers.

--- a/src/hibiscushaven/platform/store.py
+++ b/src/hibiscushaven/platform/store.py
@@ -6,7 +6,7 @@
 import logging
 import re
 import socket
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -348,9 +348,24 @@
         return known
 
 
-def _of_empty_part(rows: Iterable[Mapping[str, Any]]) -> Iterator[Mapping[str, Any]]:
-    """Return the rows of the empty part, since a feed has those of all parts of its table."""
-    return (row for row in rows if row.get("part", "") == "")
+def _of_empty_part(rows: Any) -> Iterator[Mapping[str, Any]]:
+    """Return the rows of the empty part, since a feed has those of all parts of its table.
+
+    Those without a readable key are left out. A response whose rows are no list of objects is
+    malformed as a whole, since it may lack rows as well.
+    """
+    if not isinstance(rows, list):
+        raise TypeError(f"rows of type {type(rows).__name__}")
+    for row in rows:
+        if row.get("part", "") != "":
+            continue
+        try:
+            # Lone surrogates cannot be sent to other VMs, nor in the query for the next page.
+            _key_of(row).encode()
+        except FIELD_ERRORS as error:
+            _LOG.warning("row without a readable key ignored", extra={"why": describe(error)})
+            continue
+        yield row
 
 
 def _key_of(row: Mapping[str, Any]) -> str:
--- a/src/hibiscushaven/platform/tests/test_store.py
+++ b/src/hibiscushaven/platform/tests/test_store.py
@@ -110,6 +110,32 @@
     run(scenario)
 
 
+@pytest.mark.parametrize("key", [None, 7, [], "evacuate/\ud800"])
+@pytest.mark.parametrize("is_first", [True, False], ids=["complete read", "changes"])
+def test_row_without_a_readable_key_does_not_hide_the_others(key, is_first):
+    """Guards against a key that ends all reads of a table, or that no message can carry."""
+
+    async def scenario(stand_in, client):
+        def encode_row(table, name, raw, version):
+            row = StoreStandIn._encode_row(stand_in, table, name, raw, version)
+            return {**row, "Key": key} if name == "odd" else row
+
+        stand_in._encode_row = encode_row
+        known = OperatorState()
+        if not is_first:
+            await read_ids(client)
+            known = await client.read_operator(known, 0.0)
+        for table in ("servers", "op"):
+            stand_in.put(table, "odd", server_row())
+        stand_in.put("servers", "s1", server_row())
+        stand_in.put("op", "config", configuration_row(7))
+        assert await read_ids(client) == {"s1"}
+        state = await client.read_operator(known, 0.0)
+        assert state.configuration.version == 7 and not state.evacuated
+
+    run(scenario)
+
+
 def test_rows_of_other_parts_are_ignored():
     """Guards against an entry of another part that replaces the record of a server."""
 
