Reject configurations with fields of another type or out of range

A configuration whose Host is a number, for example, was adopted by the node and then raised in the loop that reads it; one with a number of more than 64 bits could not be fetched by other VMs.

Cause: most fields of routes and services were passed on as they were.

Evidence: nine cases of test_configuration_with_an_invalid_field_is_rejected; the eight that existed then failed on, and the ninth (a weight of 2**64) was found by a search. All pass now.

Each field is checked once where it is decoded, so that a malformed configuration is logged and the previous one stays in force.

--- a/src/hibiscushaven/platform/decode.py
+++ b/src/hibiscushaven/platform/decode.py
@@ -131,40 +131,41 @@
 def _decode_route(item: Mapping[str, Any]) -> Route:
     spec = item["Spec"]
     split = spec.get("TrafficSplit")
-    weights = [(entry["Service"], entry["Weight"]) for entry in split] if split else None
+    weights = [(entry["Service"], entry["Weight"]) for entry in split or ()]
     return Route(
-        name=item["Metadata"]["Name"],
-        host=spec["Host"],
-        prefix=spec["Prefix"],
+        name=_checked_text(item["Metadata"]["Name"]),
+        host=_checked_text(spec["Host"]),
+        prefix=_checked_text(spec["Prefix"]),
         kind=RequestKind(spec["Kind"]),
         weighted_services=tuple(
-            WeightedService(*pair) for pair in weights or [(spec["Service"], 1.0)]
+            WeightedService(_checked_text(service), _checked_weight(weight))
+            for service, weight in weights or [(spec["Service"], 1.0)]
         ),
         timeout_s=parse_duration_s(spec["Timeout"]),
         # Slo stands for service level objective.
         objective_s=parse_duration_s(spec["Slo"]),
-        max_attempts=int(spec.get("MaxAttempts", 1)),
-        priority=int(spec.get("Priority", 0)),
+        max_attempts=_checked_integer(int(spec.get("MaxAttempts", 1)), 0),
+        priority=_checked_integer(int(spec.get("Priority", 0)), -_MAX_INTEGER),
         is_sticky=bool(spec.get("Sticky", False)),
-        home_regions=frozenset(spec.get("HomeRegions") or ()),
+        home_regions=frozenset(map(_checked_text, spec.get("HomeRegions") or ())),
     )
 
 
 def _decode_service(item: Mapping[str, Any]) -> ServiceOptions:
     spec = item["Spec"]
     return ServiceOptions(
-        name=item["Metadata"]["Name"],
-        health_path=spec["HealthPath"],
-        max_connections=int(spec["MaxConns"]),
+        name=_checked_text(item["Metadata"]["Name"]),
+        health_path=_checked_text(spec["HealthPath"]),
+        max_connections=_checked_integer(int(spec["MaxConns"]), 0),
         warmup_s=parse_duration_s(spec["Warmup"]) if "Warmup" in spec else 0.0,
-        warmup_per_s=float(spec.get("WarmupPerS", 0.0)),
+        warmup_per_s=_checked_finite(float(spec.get("WarmupPerS", 0.0))),
     )
 
 
 def _decode_limits(spec: Mapping[str, Any]) -> CallerLimits:
     return CallerLimits(
-        max_header_bytes=int(spec["MaxHeaderBytes"]),
-        max_body_bytes=int(spec["MaxBodyBytes"]),
+        max_header_bytes=_checked_integer(int(spec["MaxHeaderBytes"]), 0),
+        max_body_bytes=_checked_integer(int(spec["MaxBodyBytes"]), 0),
         header_timeout_s=parse_duration_s(spec["HeaderTimeout"]),
         idle_timeout_s=parse_duration_s(spec["IdleTimeout"]),
     )
@@ -199,8 +200,14 @@
 
 
 def _checked_name(value: Any) -> str:
-    if not isinstance(value, str) or not value:
-        raise ValueError(f"{value!r} is not a non-empty string")
+    if not value:
+        raise ValueError(f"{value!r} is empty")
+    return _checked_text(value)
+
+
+def _checked_text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise ValueError(f"{value!r} is not a string")
     # Lone surrogates, which JSON allows, cannot be sent to other VMs.
     value.encode()
     return value
@@ -223,6 +230,13 @@
     return value
 
 
+def _checked_weight(value: Any) -> float:
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not is_number or not 0 <= value <= _MAX_INTEGER:
+        raise ValueError(f"{value!r} is not a number from 0 to {_MAX_INTEGER}")
+    return value
+
+
 def _checked_finite(value: float) -> float:
     if not math.isfinite(value):
         raise ValueError(f"{value} is not finite")
--- a/src/hibiscushaven/platform/tests/test_decode.py
+++ b/src/hibiscushaven/platform/tests/test_decode.py
@@ -1,5 +1,7 @@
 """Decoding of rows of the platform's store: malformed rows are rejected as a whole."""
 
+import math
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -134,3 +136,23 @@
     with pytest.raises(DecodeError) as caught:
         decode_server("s1", {**server_row(), **parse_json(text)})
     assert len(str(caught.value)) < 500
+
+
+@pytest.mark.parametrize(
+    "spec",
+    [
+        {"Host": 7},
+        {"Prefix": []},
+        {"Service": "\ud800"},
+        {"Priority": 1e300},
+        {"MaxAttempts": 2**64},
+        {"HomeRegions": [7]},
+        {"TrafficSplit": [{"Service": "a", "Weight": "90"}]},
+        {"TrafficSplit": [{"Service": "a", "Weight": math.nan}]},
+        {"TrafficSplit": [{"Service": "a", "Weight": 2**64}]},
+    ],
+)
+def test_configuration_with_an_invalid_field_is_rejected(spec):
+    """Guards against a configuration that no request or no message between VMs survives."""
+    with pytest.raises(DecodeError):
+        decode_configuration(configuration_row(7, [route_item(**spec)]))
