--- a/src/hibiscushaven/platform/store.py
+++ b/src/hibiscushaven/platform/store.py
@@ -6,7 +6,7 @@
 import logging
 import re
 import socket
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -15,7 +15,7 @@
 from hibiscushaven.discovery import ServerRecord
 from hibiscushaven.eras import MAX_ERA, era_of, number_of, version_of
 from hibiscushaven.gateway import ServerListing, StoreError, VmAddress
-from hibiscushaven.ini.fields import Endpoint, endpoint
+from hibiscushaven.ini.fields import Endpoint
 from hibiscushaven.process import socket_factory
 from hibiscushaven.routing import Configuration, OperatorState
 
@@ -24,6 +24,8 @@
     DecodeError,
     decode_configuration,
     decode_server,
+    describe,
+    parse_address,
     parse_json,
 )
 
@@ -55,8 +57,6 @@
 _ERA_HEADER = "Store-Era"
 _ERA = re.compile(r"[0-9]{1,7}")
 
-_ENDPOINT = endpoint()
-
 
 class _ChangesUnknownError(StoreError):
     """The store does not have all changes since the last read, or counts in another era."""
@@ -203,7 +203,7 @@
             }
             return rows, max((after, *(version for _, version in rows.values())))
         except FIELD_ERRORS as error:
-            raise StoreError(f"malformed changes of table {table!r}: {error!r}") from error
+            raise StoreError(f"malformed changes of table {table!r}: {describe(error)}") from error
 
     async def _read_all(self, table: str) -> tuple[dict[str, bytes], int]:
         """Return all rows as of one version of the store."""
@@ -223,7 +223,7 @@
                 version = version or page_version
                 has_more = bool(body["HasMore"])
             except FIELD_ERRORS as error:
-                raise StoreError(f"malformed rows of table {table!r}: {error!r}") from error
+                raise StoreError(f"malformed rows of table {table!r}: {describe(error)}") from error
             rows |= page
             if not has_more:
                 break
@@ -270,7 +270,7 @@
                 return parse_json(content), self._accept_era(response.headers.get(_ERA_HEADER))
         except (aiohttp.ClientError, OSError, ValueError, DecodeError) as error:
             # TimeoutError is an OSError.
-            raise StoreError(f"{path}: {error!r}") from error
+            raise StoreError(f"{path}: {describe(error)}") from error
 
     def _accept_era(self, value: str | None) -> int:
         """Return the era of a response.
@@ -355,9 +355,24 @@
         return known
 
 
-def _of_empty_part(rows: Iterable[Mapping[str, Any]]) -> Iterator[Mapping[str, Any]]:
-    """Return the rows of the empty part, since a feed has those of all parts of its table."""
-    return (row for row in rows if row.get("part", "") == "")
+def _of_empty_part(rows: Any) -> Iterator[Mapping[str, Any]]:
+    """Return the rows of the empty part, since a feed has those of all parts of its table.
+
+    Those without a readable key are left out. A response whose rows are no list of objects is
+    malformed as a whole, since it may lack rows as well.
+    """
+    if not isinstance(rows, list):
+        raise TypeError(f"rows of type {type(rows).__name__}")
+    for row in rows:
+        if row.get("part", "") != "":
+            continue
+        try:
+            # Lone surrogates cannot be sent to other VMs, nor in the query for the next page.
+            _key_of(row).encode()
+        except FIELD_ERRORS as error:
+            _LOG.warning("row without a readable key ignored", extra={"why": describe(error)})
+            continue
+        yield row
 
 
 def _key_of(row: Mapping[str, Any]) -> str:
@@ -372,17 +387,23 @@
     try:
         return base64.b64decode(row["Value"])
     except (binascii.Error, KeyError, TypeError, ValueError) as error:
-        _LOG.warning("unreadable value of a row", extra={"key": _key_of(row), "why": repr(error)})
+        _LOG.warning(
+            "unreadable value of a row", extra={"key": _key_of(row), "why": describe(error)}
+        )
         return b""
 
 
 def _decode_vms(rows: Mapping[str, bytes]) -> Iterator[VmAddress]:
     for name, value in rows.items():
         try:
-            yield VmAddress(name, str(_ENDPOINT.parse(value.decode("ascii"))))
+            address = parse_address(value.decode("ascii"))
+            # Messages are sent without a look-up of names, which an address in brackets needs.
+            if ":" in address.host:
+                raise ValueError(f"{address} is not of IPv4")
+            yield VmAddress(name, str(address))
         except ValueError as error:
             _LOG.warning(
-                "malformed address of a VM ignored", extra={"vm": name, "why": repr(error)}
+                "malformed address of a VM ignored", extra={"vm": name, "why": describe(error)}
             )
 
 
--- a/src/hibiscushaven/platform/tests/test_decode.py
+++ b/src/hibiscushaven/platform/tests/test_decode.py
@@ -1,5 +1,7 @@
 """Decoding of rows of the platform's store: malformed rows are rejected as a whole."""
 
+import math
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -67,10 +69,18 @@
     [
         {"Address": "nowhere"},
         {"Address": None},
+        {"Address": "10.0.0.9:0"},
+        {"Address": "10.0.0.9:65536"},
+        {"Address": "10.0.0.9:\u0668\u0660"},
+        {"Address": "[::1%\0]:80"},
+        {"Address": "[::1%" + 100 * "a" + "]:80"},
         {"Info": {}},
         {"Status": {"State": "asleep"}},
         {"born": "yesterday"},
         {"Info": {"Service": "s", "Zone": "z", "Concurrency": "4"}},
+        {"Info": {"Service": "s", "Zone": "z", "Concurrency": 2**62}},
+        {"Status": {"State": "ready", "Sequence": "1"}},
+        {"Status": {"State": "ready", "Sequence": 2**64}},
     ],
 )
 def test_server_with_an_invalid_field_is_rejected(change):
@@ -110,3 +120,39 @@
 def test_start_time_may_be_a_whole_number_with_an_exponent():
     """Guards against servers that are left out for the form of their start time."""
     assert decode_server("s1", {**server_row(), "born": 1.7e12}).started_unix_ms == 1700000000000
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        b"\xff" + 60_000 * b"x",
+        b'{"Address": "' + 60_000 * b"x" + b'"}',
+        b'{"Status": {"State": ' + 400 * b'{"State":' + b"1" + 402 * b"}",
+        b'{"born": 1' + 4000 * b"0" + b"}",
+    ],
+)
+def test_error_of_an_unreadable_server_is_short(text):
+    """Guards against log lines as long as the rows of another writer."""
+    with pytest.raises(DecodeError) as caught:
+        decode_server("s1", {**server_row(), **parse_json(text)})
+    assert len(str(caught.value)) < 500
+
+
+@pytest.mark.parametrize(
+    "spec",
+    [
+        {"Host": 7},
+        {"Prefix": []},
+        {"Service": "\ud800"},
+        {"Priority": 1e300},
+        {"MaxAttempts": 2**64},
+        {"HomeRegions": [7]},
+        {"TrafficSplit": [{"Service": "a", "Weight": "90"}]},
+        {"TrafficSplit": [{"Service": "a", "Weight": math.nan}]},
+        {"TrafficSplit": [{"Service": "a", "Weight": 2**64}]},
+    ],
+)
+def test_configuration_with_an_invalid_field_is_rejected(spec):
+    """Guards against a configuration that no request or no message between VMs survives."""
+    with pytest.raises(DecodeError):
+        decode_configuration(configuration_row(7, [route_item(**spec)]))
