Log the configuration by which a request was routed

The log line of a request named the configuration that the VM had when the request ended. After a change during the request, it was not that by which it was routed, so that a request handled by an old configuration could not be told from one in progress.

The version is kept with the request. The test fails on the sources before (9 in place of 1).

--- a/src/hibiscushaven/forwarding/context.py
+++ b/src/hibiscushaven/forwarding/context.py
@@ -16,6 +16,7 @@
 class RequestContext:
     """A request with its route, its deadline and the results of its attempts so far.
 
+    :ivar configuration_version: version of the configuration that its route is from.
     :ivar is_caller_retry: whether its caller probably retries after a refusal.
     :ivar excluded: backend servers that must not receive it again.
     :ivar sent_attempts: number of attempts of which at least one byte may have been sent.
@@ -36,6 +37,7 @@
     route: Route
     service: str
     deadline: float
+    configuration_version: int
     is_caller_retry: bool
     excluded: set[str] = field(default_factory=set)
     sent_attempts: int = 0
--- a/src/hibiscushaven/forwarding/forwarder.py
+++ b/src/hibiscushaven/forwarding/forwarder.py
@@ -245,7 +245,9 @@
             self._count(service)
             self._retry_budget(service).count_request(request.received_at)
         deadline = min(request.received_at + limit_s, self.ends_at)
-        return RequestContext(request, route, service, deadline, is_caller_retry)
+        return RequestContext(
+            request, route, service, deadline, self._configuration_version, is_caller_retry
+        )
 
     async def _forward(self, context: RequestContext) -> CallerResponse:
         while True:
--- a/src/hibiscushaven/forwarding/reporter.py
+++ b/src/hibiscushaven/forwarding/reporter.py
@@ -69,7 +69,7 @@
 
         :param context: ``None`` if the request could not be forwarded.
         :param response: ``None`` if the request was cancelled or raised an exception.
-        :param version: version of the configuration.
+        :param version: version of the configuration, for a request that could not be forwarded.
         """
         elapsed_s = self._now() - request.received_at
         status = response.status if response is not None else 0
@@ -86,6 +86,7 @@
                 "requests_total", context.service, f"{label}-{status or 'left'}"
             ).add()
             extra |= {
+                "configuration": context.configuration_version,
                 "route": context.route.name,
                 "service": context.service,
                 "sent": context.sent_attempts,
--- a/src/hibiscushaven/forwarding/tests/test_forwarder.py
+++ b/src/hibiscushaven/forwarding/tests/test_forwarder.py
@@ -247,3 +247,18 @@
     request = PlacementRequest(make_route(), "stock", None, objective_left_s=0.25, time_left_s=0.1)
     assert not is_admissible(4, 4, 0.2, request)
     assert is_admissible(4, 4, 0.2, replace(request, time_left_s=0.25))
+
+
+def test_log_names_the_configuration_that_routed_a_request(caplog):
+    """Guards against a log that names a configuration adopted while the request was in progress."""
+    caplog.set_level("INFO")
+    forwarder, clock, client, _ = make_forwarder([Head()])
+    attempt = client.attempt
+
+    async def adopt_and_attempt(request):
+        forwarder.set_configuration(replace(forwarder._picker.configuration, version=9))
+        return await attempt(request)
+
+    client.attempt = adopt_and_attempt
+    assert asyncio.run(forwarder.handle(make_request(clock))).status == 200
+    assert [item.configuration for item in caplog.records if item.msg == "request ended"] == [1]
