Do not relay a request to a peer with an older configuration

A VM without links to the servers relays requests to a peer, which routed them by its own configuration. A peer without the route answered 404, which the sender returned as final; a peer with an older route ran the request as that one allowed, also in regions that are no home by the sender's. Peers are chosen whether or not they reach the store, so that this lasted while the peer did not.

The relayed request names the configuration by which the sender routed it. A peer with an older one refuses it, and the next peer is asked. Such a refusal is followed by no backoff, since the peer has the configuration soon. A peer of an older build ignores the header and passes it on to the server.

--- a/src/hibiscushaven/forwarding/forwarder.py
+++ b/src/hibiscushaven/forwarding/forwarder.py
@@ -224,6 +224,8 @@
         """Return the context of a request, or the response if it cannot be forwarded."""
         if self._now() >= self.accepts_until:
             return rejection_response("this VM is stopping", STOPPING_RETRY_S)
+        if self._configuration_version < request.min_configuration:
+            return relay_refusal("configuration older than that of the sender", is_temporary=True)
         configuration = self._picker.configuration
         if self._route_table is None or configuration is None:
             return rejection_response("no configuration yet", CONFIGURATION_RETRY_S)
@@ -261,7 +263,7 @@
                 context.last_error = context.last_error or "no time left"
                 return self._final_response(context, 504)
             if self._links.is_isolated and context.is_relayed and not context.may_have_run:
-                return relay_refusal()
+                return relay_refusal("no backend server can be reached")
             if self._links.is_isolated and (response := await self._try_relay(context)):
                 return response
             if context.connect_failures >= MAX_CONNECT_FAILURES:
--- a/src/hibiscushaven/forwarding/messages.py
+++ b/src/hibiscushaven/forwarding/messages.py
@@ -25,6 +25,7 @@
     :ivar received_at: time of arrival on the daemon's clock.
     :ivar relayed_attempts: attempts that are left if another VM relayed the request, otherwise
         ``None``.
+    :ivar min_configuration: oldest version of the configuration by which it may be routed.
     """
 
     request_id: str
@@ -38,6 +39,7 @@
     time_left_s: float | None
     received_at: float
     relayed_attempts: int | None = None
+    min_configuration: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hibiscushaven/forwarding/relaying.py
+++ b/src/hibiscushaven/forwarding/relaying.py
@@ -35,6 +35,10 @@
 ATTEMPTS_HEADER = "Relay-Attempts-Left"
 REFUSAL_HEADER = "Relay-Refused"
 SERVER_HEADER = "Relay-Server"
+CONFIGURATION_HEADER = "Relay-Configuration"
+
+# Value of the refusal header if the peer may take other requests, or this one soon.
+TEMPORARY_REFUSAL = "old"
 
 # Peers that are asked to take one request.
 MAX_PEERS = 3
@@ -43,7 +47,14 @@
 PEER_BACKOFF_S = 0.5
 
 _RELAY_HEADERS = frozenset(
-    name.lower() for name in (TIME_LEFT_HEADER, ATTEMPTS_HEADER, REFUSAL_HEADER, SERVER_HEADER)
+    name.lower()
+    for name in (
+        TIME_LEFT_HEADER,
+        ATTEMPTS_HEADER,
+        REFUSAL_HEADER,
+        SERVER_HEADER,
+        CONFIGURATION_HEADER,
+    )
 )
 _COUNT = re.compile(r"[0-9]{1,9}")
 
@@ -59,7 +70,12 @@
 
     def check_response(self, response: AttemptResponse, request: AttemptRequest) -> None:
         if is_relay_refusal(response.headers):
-            raise AttemptError(FailureKind.REFUSED, f"{request.server} reaches no server")
+            raise AttemptError(
+                FailureKind.REFUSED,
+                f"{request.server} did not take the request",
+                headers=response.headers,
+                status=response.status,
+            )
 
 
 class RelayedCallers:
@@ -82,13 +98,18 @@
             request,
             time_left_s=request.time_left_s if time_left_ms is None else time_left_ms / 1000,
             relayed_attempts=1 if attempts is None else attempts,
+            min_configuration=_count(headers, CONFIGURATION_HEADER) or 0,
         )
 
 
-def relay_refusal() -> CallerResponse:
-    """Return the response to a relayed request that this VM cannot serve either."""
-    response = rejection_response("no backend server can be reached", None)
-    return replace(response, headers=(*response.headers, (REFUSAL_HEADER, "1")))
+def relay_refusal(reason: str, is_temporary: bool = False) -> CallerResponse:
+    """Return the response to a relayed request that this VM cannot serve either.
+
+    :param is_temporary: whether this VM may take the next request.
+    """
+    response = rejection_response(reason, None)
+    value = TEMPORARY_REFUSAL if is_temporary else "1"
+    return replace(response, headers=(*response.headers, (REFUSAL_HEADER, value)))
 
 
 def name_server(headers: Headers, process_id: str) -> Headers:
@@ -104,6 +125,11 @@
     return find_header(headers, REFUSAL_HEADER) is not None
 
 
+def _is_temporary_refusal(error: AttemptError) -> bool:
+    headers = error.headers or ()
+    return find_header(headers, REFUSAL_HEADER) == TEMPORARY_REFUSAL
+
+
 def _without_relay_headers(headers: Headers) -> Headers:
     return tuple(item for item in headers if item[0].lower() not in _RELAY_HEADERS)
 
@@ -120,7 +146,8 @@
     ===========
 
     The peer routes the request as one of its own callers', within the time and the attempts that
-    are left, and does not relay it again. Its response is final, also when it rejects the request.
+    are left, and does not relay it again. It refuses the request if its configuration is older than
+    the one by which this VM routed it. Any other response is final, also a rejection.
 
     A request that a peer may have received counts as one that may have run, unless the peer
     refused it.
@@ -157,7 +184,8 @@
                 self._count(error.kind.value)
                 if not (error.kind.is_before_sending or error.kind is FailureKind.REFUSED):
                     raise
-                self._backoff_until[peer] = self._now() + PEER_BACKOFF_S
+                if not _is_temporary_refusal(error):
+                    self._backoff_until[peer] = self._now() + PEER_BACKOFF_S
                 continue
             self._count("answered")
             context.relayed_to = str(peer)
@@ -181,14 +209,17 @@
     ) -> AttemptRequest:
         request = context.request
         left_s = context.deadline - self._now()
-        attempts = (ATTEMPTS_HEADER, str(attempts_left))
+        own_headers = (
+            (ATTEMPTS_HEADER, str(attempts_left)),
+            (CONFIGURATION_HEADER, str(context.configuration_version)),
+        )
         return AttemptRequest(
             server=peer,
             method=request.method,
             target=request.target,
             attempt_id=request.request_id,
             deadline=asyncio.get_running_loop().time() + left_s,
-            headers=(*_without_relay_headers(request.headers), attempts),
+            headers=(*_without_relay_headers(request.headers), *own_headers),
             body=request.body,
             head_timeout_s=left_s,
         )
