Check configurations beside random interruptions

The random runs of simulated regions checked which servers are used. Beside pauses, cuts, outages and restores they now also change the configuration, load links, kill and start VMs and let the store refuse some, and check that each VM without interruption has the newest confirmed configuration after 2.5 s. Restores bring back an earlier configuration, until it is written again.

--- a/src/hibiscushaven/gateway/tests/simulated_region.py
+++ b/src/hibiscushaven/gateway/tests/simulated_region.py
@@ -235,6 +235,20 @@
         self.interrupted.discard(name)
         resumption.set()
 
+    @contextlib.asynccontextmanager
+    async def killed(self, name):
+        """Stop the process of a VM without a message to the others, and start another one."""
+        node, resumption = self.nodes[name], asyncio.Event()
+        self.interrupted.add(name)
+        self._resumptions[name] = resumption
+        await node.close()
+        yield
+        restarted = self._add(name, node._options.peers_at)
+        del self._resumptions[name]
+        self.interrupted.discard(name)
+        resumption.set()
+        await restarted.start()
+
     async def wait_until_running(self, name):
         """Wait for the end of the pause of a VM."""
         if name in self._resumptions:
--- a/src/hibiscushaven/gateway/tests/soak.py
+++ b/src/hibiscushaven/gateway/tests/soak.py
@@ -13,7 +13,7 @@
 
 from hibiscushaven.routing import RequestKind
 
-from .interruptions import Interruptions
+from .interruptions import ConfigurationInterruptions
 from .simulated_backends import Cut, SimulatedBackends, SimulatedTraffic
 from .simulated_region import LoopClock, SimulatedRegion
 from .test_crashing_request import (
@@ -116,17 +116,19 @@
 
 
 def interrupt(rng, seed):
-    """Return which removed servers were used by VMs without interruption, and if there were any."""
+    """Return which removed servers and earlier configurations VMs used late, and if any did."""
     size = rng.choice([6, 18, 34])
 
     async def scenario(region):
         region.loss_rate = rng.choice([0.0, 0.02, 0.1])
-        interruptions = Interruptions(region, rng)
+        interruptions = ConfigurationInterruptions(region, rng)
         await interruptions.run(INTERRUPTIONS_S)
-        return sorted(interruptions.late)
+        return sorted(interruptions.late), sorted(interruptions.late_configurations)
 
-    late = SimulatedRegion.run(size, scenario)
-    return f"{size} VMs: removed servers used late: {len(late)} {late[:3]}", bool(late)
+    late, late_configurations = SimulatedRegion.run(size, scenario)
+    text = f"{size} VMs: removed servers used late: {len(late)} {late[:3]}, "
+    text += f"configurations adopted late: {len(late_configurations)} {late_configurations[:3]}"
+    return text, bool(late or late_configurations)
 
 
 SCENARIOS = (crash, limit, cut, interrupt)
