Apply the changes of a pull that began before another one ended

A VM with a busy link pulls from several peers at a time. The first response to end changed its version, after which the later ones, with newer changes, were discarded since they are for the version before; the VM pulled again behind the same queue and used removed servers up to 0.4 s longer. Ruled out: peers that were themselves behind, and the reader.

Changes since an earlier version include those since a later one, so that they are applied; the checksum rejects those of another history. The unit test fails before.

--- a/src/hibiscushaven/discovery/registry.py
+++ b/src/hibiscushaven/discovery/registry.py
@@ -200,8 +200,12 @@
         return RegistryUpdate(self.version, servers, version, removed, self.checksum)
 
     def apply_update(self, update: RegistryUpdate) -> bool:
-        """Apply a peer's update if it is newer and consistent; return whether it was applied."""
-        if update.version <= self.version or update.base_version not in (None, self.version):
+        """Apply a peer's update if it is newer and consistent; return whether it was applied.
+
+        The update may be for an earlier version than this one, which is that of a pull that ended
+        meanwhile: the changes since then include those since this version.
+        """
+        if update.version <= self.version or (update.base_version or 0) > self.version:
             return False
         kept = self._servers if update.base_version is not None else self._kept_beside(update)
         servers = {name: server for name, server in kept.items() if name not in update.removed}
--- a/src/hibiscushaven/discovery/tests/test_registry.py
+++ b/src/hibiscushaven/discovery/tests/test_registry.py
@@ -212,6 +212,19 @@
     assert set(other.servers) == {"s1", "s3"}
 
 
+def test_update_for_an_earlier_base_version_is_applied():
+    """Guards against a second pull in progress whose newer changes the end of the first discards."""
+    reader = make_registry(make_record("s1"), make_record("s2"))
+    other = Registry()
+    other.apply_update(reader.update_since(0))
+    reader.replace_all(1.0, 20, [make_record("s2"), make_record("s3")], gap_s=0.5)
+    first = reader.update_since(other.version)
+    reader.replace_all(2.0, 30, [make_record("s3")], gap_s=0.5)
+    second = reader.update_since(other.version)
+    assert other.apply_update(first) and other.apply_update(second)
+    assert other.servers == reader.servers and not other.apply_update(first)
+
+
 def test_vm_that_is_too_far_behind_gets_a_complete_update():
     """The change log is bounded; changes that it no longer holds must not be skipped."""
     reader = make_registry(make_record("s"))
