--- a/src/hibiscushaven/discovery/tests/test_registry.py
+++ b/src/hibiscushaven/discovery/tests/test_registry.py
@@ -213,7 +213,7 @@
 
 
 def test_update_for_an_earlier_base_version_is_applied():
-    """Guards against a second pull in progress whose newer changes the end of the first discards."""
+    """Guards against a pull whose newer changes are discarded since another pull ended first."""
     reader = make_registry(make_record("s1"), make_record("s2"))
     other = Registry()
     other.apply_update(reader.update_since(0))
--- a/src/hibiscushaven/gateway/tests/interruptions.py
+++ b/src/hibiscushaven/gateway/tests/interruptions.py
@@ -17,8 +17,8 @@
 # Time after the confirmation of a configuration from which no earlier one must be in force.
 APPLY_S = 2.5
 
-# Longest time that packets wait at a busy link, in each direction; beyond half a second for both the
-# VM counts as slowed.
+# Longest time that packets wait at a busy link, in each direction. A VM counts as slowed if they
+# wait longer than half a second in both.
 MAX_LINK_DELAY_S = 0.25
 
 # VMs that start in one run, besides those that are restarted.
