Take no confirmation from builds that know no eras

Cause: a VM of an older build takes the versions of a newer one, which hold the era, for far newer, and then ignores its own reads of the store, but counts them as confirmations. As long as it is ranked first, nobody of its region reads.

A newer build sets a bit of its incarnation that older ones never draw. Where the store names its era, ages from builds without it confirm nothing, and they rank as unable to read.

--- a/src/hibiscushaven/fleet/messages.py
+++ b/src/hibiscushaven/fleet/messages.py
@@ -1,5 +1,6 @@
 """Datagrams that VMs exchange: states of single VMs, and digests of whole regions."""
 
+import random
 import struct
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field, fields
@@ -23,7 +24,9 @@
     "VmState",
     "as_sent",
     "decode",
+    "draw_incarnation",
     "encode",
+    "orders_by_era",
     "token_of",
 ]
 
@@ -35,6 +38,11 @@
 
 _NUMBERS = (int, float)
 
+# Part of an incarnation that is drawn at random, and the bit above it, which is set only by builds
+# that order versions by their era.
+_INCARNATION_BITS = 31
+_ORDERS_BY_ERA = 1 << _INCARNATION_BITS
+
 # Versions are signed integers of 64 bits in messages, and never negative.
 _MAX_INTEGER = 2**63 - 1
 
@@ -68,12 +76,30 @@
     return xxhash.xxh32_intdigest(text.encode())
 
 
+def draw_incarnation() -> int:
+    """Return the incarnation of a VM that starts.
+
+    Examples
+    ========
+
+    >>> orders_by_era(draw_incarnation()), orders_by_era(2**31 - 1)
+    (True, False)
+
+    """
+    return _ORDERS_BY_ERA | random.getrandbits(_INCARNATION_BITS)
+
+
+def orders_by_era(incarnation: int) -> bool:
+    """Return whether a VM orders versions by their era, which those of older builds do not."""
+    return bool(incarnation & _ORDERS_BY_ERA)
+
+
 @dataclass(frozen=True, slots=True)
 class VmState:
     """State of one VM; a later state replaces an earlier one as a whole.
 
-    :ivar incarnation: random number drawn at each start; a state of another incarnation
-        replaces the known one whatever its ``sequence``.
+    :ivar incarnation: number drawn at each start, as by ``draw_incarnation``; a state of another
+        incarnation replaces the known one whatever its ``sequence``.
     :ivar callers_at: address for callers, ``ip:port``.
     :ivar peers_at: address for other VMs, ``ip:port``.
     :ivar capacity: CPU capacity, in cores of reference speed.
--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -31,7 +31,7 @@
     digest_interval_s,
     token_of,
 )
-from hibiscushaven.fleet.messages import encode
+from hibiscushaven.fleet.messages import draw_incarnation, encode, orders_by_era
 from hibiscushaven.ini.fields import Endpoint
 from hibiscushaven.metrics import Metrics
 from hibiscushaven.placement import Picker, PickerOptions, ServerLoads, ServerNotice
@@ -113,6 +113,9 @@
 # intervals between its writes.
 RECORD_DELAY_S = 3.0
 
+# Age that confirms nothing, above the time since any boot.
+UNKNOWN_AGE_S = 1e12
+
 # Time for which the loss of a backend server is reported to the other VMs, which is also the
 # longest time for which this VM avoids the server after the loss.
 LOST_SERVER_REPORT_S = 2.0
@@ -185,7 +188,7 @@
             self.picker.rate_limits, self.view, clock, self._send_datagram
         )
         self.isolation_exchange = IsolationExchange(self.view, clock, self._send_datagram)
-        self._incarnation = random.getrandbits(31)
+        self._incarnation = draw_incarnation()
         self._broadcasts = DomainBroadcasts(
             self.view, self._incarnation, clock, self._on_message, self._send_datagram
         )
@@ -366,13 +369,17 @@
 
     def _check_registration(self) -> None:
         """Register again once the store has been restored since this VM registered."""
-        era = max(era_of(self._operator.version), era_of(self.registry.version))
+        era = self._known_era()
         if self._registered_era is None or era <= self._registered_era or self._is_leaving:
             return
         if self._registering is None or self._registering.done():
             registration = keep_running("registration", self._register_again)
             self._registering = spawn("registration", registration)
 
+    def _known_era(self) -> int:
+        """Return the latest era of the store that this VM has data of; 0 if it names none."""
+        return max(era_of(self._operator.version), era_of(self.registry.version))
+
     def _send_state_to_addresses(self, vms: Iterable[VmAddress]) -> None:
         state = encode(self._state())
         for vm in vms:
@@ -385,6 +392,8 @@
             handler(message)
             return
         now = self._clock.now()
+        if self._known_era() and not orders_by_era(message.incarnation):
+            message = _without_reads(message)
         if isinstance(message, RegionDigest):
             self._on_digest(now, message)
             return
@@ -801,7 +810,7 @@
     def _report_data_age(self, now: float) -> None:
         self._reporter.data_checked(
             self._operator.configuration_version,
-            max(era_of(self._operator.version), era_of(self.registry.version)),
+            self._known_era(),
             now - self._reader.operator_confirmed_at,
             now - self._reader.servers_confirmed_at,
             self._reader_rank(self._reader.can_read),
@@ -935,6 +944,15 @@
                 self.picker.notices.record(now, record.process_id, ServerNotice(is_leaving=True))
 
 
+def _without_reads(message: VmState | RegionDigest) -> VmState | RegionDigest:
+    """Return a message of an older build without what it says of reads of the store.
+
+    A read by an older build, which knows no eras, confirms nothing where the store names them.
+    """
+    message = replace(message, operator_age_s=UNKNOWN_AGE_S, servers_age_s=UNKNOWN_AGE_S)
+    return replace(message, can_read=False) if isinstance(message, VmState) else message
+
+
 def _picker_options(options: GatewayOptions) -> PickerOptions:
     return PickerOptions(
         options.name,
