Report only own reads of the store to other VMs

After a real outage with one busy link, all VMs dropped the servers without records at once, since the outage seemed short.

Cause: a VM told others the age of its data, whoever had read it. An age leaves out the time that its message takes, so that each hop made the data look newer, and VMs that passed the ages on confirmed each other's data while nobody read. Later ranks so waited too long for the reader.

A state now tells the age of the sender's own read of that version, if it has one, and the digest of an aggregator that which a reader reported to it. So a message tells of a read after one or two hops at most.

--- a/src/hibiscushaven/fleet/messages.py
+++ b/src/hibiscushaven/fleet/messages.py
@@ -107,9 +107,9 @@
         aggregator.
     :ivar can_read: whether its last call to the platform's store succeeded.
     :ivar operator_version: version of the operator's state that it has.
-    :ivar operator_age_s: time since any VM confirmed that version by a read of the store.
+    :ivar operator_age_s: time since it confirmed that version by a read of the store of its own.
     :ivar servers_version: version of its registry of backend servers.
-    :ivar servers_age_s: time since any VM confirmed that version by a read of the store.
+    :ivar servers_age_s: time since it confirmed that version by a read of the store of its own.
     :ivar in_progress: its requests in progress by token of the backend server.
     :ivar lost_server_ages_s: seconds since it found a backend server unreachable, by token.
     :ivar arrivals: requests per second from its callers by token of the service, and cache
@@ -155,9 +155,9 @@
     :ivar interval_s: time until the next digest to the own region.
     :ivar peers_at: address of the sender for other VMs.
     :ivar operator_version: of the sender, as in ``VmState``.
-    :ivar operator_age_s: of the sender, as in ``VmState``.
+    :ivar operator_age_s: time since the sender, or a VM that told it so, confirmed that version.
     :ivar servers_version: of the sender, as in ``VmState``.
-    :ivar servers_age_s: of the sender, as in ``VmState``.
+    :ivar servers_age_s: as ``operator_age_s``, for the servers.
     :ivar lost_server_ages_s: as in ``VmState``, for all VMs whose states the sender receives.
     :ivar slowness: as in ``VmState``, for all VMs whose states the sender receives.
     """
--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -51,6 +51,7 @@
 from .ports import PlatformStore, ServerListing, StoreError, VmAddress
 from .puller import PeerPuller
 from .rate_limit_exchange import RateLimitExchange
+from .read_proofs import UNKNOWN_AGE_S, ReadProofs
 from .reader import StoreReader
 from .relay_peers import choose_relay_peers
 from .remote_versions import REGION_READ_TIMEOUT_S, RemoteVersions
@@ -113,9 +114,6 @@
 # intervals between its writes.
 RECORD_DELAY_S = 3.0
 
-# Age that confirms nothing, above the time since any boot.
-UNKNOWN_AGE_S = 1e12
-
 # Time for which the loss of a backend server is reported to the other VMs, which is also the
 # longest time for which this VM avoids the server after the loss.
 LOST_SERVER_REPORT_S = 2.0
@@ -174,7 +172,7 @@
             self._reader_rank,
             lambda: self._operator,
             self._on_listing,
-            self._adopt_operator,
+            self._on_operator_read,
             self._send_state_to_region,
             self._reporter,
             self._observing_since,
@@ -227,6 +225,8 @@
         self._state_sent_at = -1e6
         self._has_diverged = False
         self._remote_versions = RemoteVersions()
+        self._operator_proofs = ReadProofs()
+        self._servers_proofs = ReadProofs()
         self._newest_operator_version = 0
         self._newer_operator_seen_at = float("-inf")
         self._newest_servers_version = 0
@@ -430,6 +430,9 @@
 
     def _compare_versions(self, now: float, name: str, state: VmState | RegionDigest) -> None:
         """Use a peer's versions to confirm the data held here, or fetch newer data from it."""
+        if isinstance(state, VmState):
+            self._operator_proofs.add_reported(state.operator_version, now - state.operator_age_s)
+            self._servers_proofs.add_reported(state.servers_version, now - state.servers_age_s)
         if state.operator_version == self._operator.version:
             self._reader.confirm_operator(now - state.operator_age_s)
         if state.servers_version == self.registry.version:
@@ -457,9 +460,10 @@
     def _note_newer_versions(self, now: float, state: VmState | RegionDigest) -> bool:
         """Record the versions of another VM; return whether any is newer than those held here."""
         self._newest_operator_version = max(self._newest_operator_version, state.operator_version)
-        if state.servers_version > self._newest_servers_version:
-            self._newest_servers_version = state.servers_version
-            self._newest_servers_read_at = now - state.servers_age_s
+        newest = self._newest_servers_version, self._newest_servers_read_at
+        self._newest_servers_version, self._newest_servers_read_at = max(
+            newest, (state.servers_version, now - state.servers_age_s)
+        )
         is_operator_newer = state.operator_version > self._operator.version
         if is_operator_newer:
             self._newer_operator_seen_at = now
@@ -604,7 +608,7 @@
             capacity=self._options.capacity,
             has_aggregator=self.view.has_aggregator(now) or self.view.is_aggregating(now),
             can_read=self._reader.can_read,
-            **self._version_fields(now),
+            **self._version_fields(now, is_digest=False),
             in_progress=in_progress,
             lost_server_ages_s=self._own_lost_server_ages_s(now),
             arrivals=self._arrivals.by_token() if has_arrivals else {},
@@ -612,13 +616,20 @@
             slowness=self._own_slowness_reports(now),
         )
 
-    def _version_fields(self, now: float) -> dict[str, Any]:
+    def _version_fields(self, now: float, is_digest: bool) -> dict[str, Any]:
         """Return the message fields for the versions that this VM holds and their age."""
+        operator_version, servers_version = self._operator.version, self.registry.version
+        operator, servers = self._operator_proofs, self._servers_proofs
+        operator_age_s, servers_age_s = (
+            (operator.age_s, servers.age_s)
+            if is_digest
+            else (operator.own_age_s, servers.own_age_s)
+        )
         return {
-            "operator_version": self._operator.version,
-            "operator_age_s": now - self._reader.operator_confirmed_at,
-            "servers_version": self.registry.version,
-            "servers_age_s": now - self._reader.servers_confirmed_at,
+            "operator_version": operator_version,
+            "operator_age_s": operator_age_s(now, operator_version),
+            "servers_version": servers_version,
+            "servers_age_s": servers_age_s(now, servers_version),
         }
 
     def _on_isolation_change(self, is_isolated: bool) -> None:
@@ -722,7 +733,7 @@
             sequences=self.view.sequences(now),
             interval_s=self._digest_interval_s(),
             peers_at=str(self._options.peers_at),
-            **self._version_fields(now),
+            **self._version_fields(now, is_digest=True),
             lost_server_ages_s={**lost_ages_s, **own_lost_ages_s},
             slowness={**self.view.slowness_reports(now), **self._own_slowness_reports(now)},
         )
@@ -735,7 +746,9 @@
         if self.view.is_aggregating(now):
             # The VMs of a small region send their versions to all regions themselves.
             digest = replace(
-                digest, sequences=self.view.sequences(now), **self._version_fields(now)
+                digest,
+                sequences=self.view.sequences(now),
+                **self._version_fields(now, is_digest=True),
             )
         self._broadcasts.send(encode(digest), recipients)
 
@@ -826,7 +839,9 @@
     def _on_listing(self, listing: ServerListing, gap_s: float) -> None:
         now = self._clock.now()
         self._check_servers_era(now, listing.version, "store")
-        if self.registry.replace_all(now, listing.version, listing.records, gap_s):
+        is_changed = self.registry.replace_all(now, listing.version, listing.records, gap_s)
+        self._servers_proofs.add_own(self.registry.version, now)
+        if is_changed:
             self._on_registry_change("store", gap_s=round(gap_s, 3))
 
     def _check_servers_era(self, now: float, version: int, source: str) -> None:
@@ -845,6 +860,11 @@
             },
         )
 
+    def _on_operator_read(self, operator: OperatorState, source: str) -> None:
+        version = max(operator.version, self._operator.version)
+        self._operator_proofs.add_own(version, self._clock.now())
+        self._adopt_operator(operator, source)
+
     def _adopt_operator(self, operator: OperatorState, source: str) -> None:
         previous = self._operator
         if operator.version <= previous.version:
