Let the request in progress of the tests of a stop outlast a pause

Its log says 'this process was paused': the route's timeout of 0.8 s passed before the request was sent, so that the server never got it, and the test waited for it until its limit of 60 s.

The timeout is a means of the test and no bound that it checks. The request may last 60 s now; all assertions are as before.

--- a/src/hibiscushaven/platform/tests/test_stop.py
+++ b/src/hibiscushaven/platform/tests/test_stop.py
@@ -7,6 +7,7 @@
 from hibiscushaven.gateway import daemon as daemon_module
 
 from .backend_standin import response
+from .samples import configuration_row, route_item
 from .store_standin import Fault
 from .test_gateway import run, wait_until
 
@@ -30,7 +31,7 @@
 
 async def begin_stop(deployment):
     """Begin a stop beside a request in progress; return the request and the stop."""
-    request = asyncio.create_task(deployment.request("/x/held"))
+    request = asyncio.create_task(deployment.request("/x/held", Deadline_Ms="60000"))
     await wait_until(lambda: deployment.backend.requests)
     stop = asyncio.create_task(deployment.daemon.stop())
     await wait_until(lambda: deployment.daemon.node.is_leaving)
@@ -48,6 +49,10 @@
 
 
 async def connect(deployment):
+    """Return a connection, after which requests may last longer than a pause of this process."""
+    route = route_item(Timeout="60s")
+    deployment.store.put("op", "config", configuration_row(8, [route]))
+    await wait_until(lambda: deployment.daemon.node.operator.configuration.version == 8)
     address = deployment.options.callers_at
     return await asyncio.open_connection(address.host, address.port)
 
@@ -58,9 +63,9 @@
     """Guards against requests that are taken when they can only be cut off at the end."""
 
     async def scenario(deployment):
+        connection = await connect(deployment)
         if is_store_silent:
             deployment.store.faults.extend([Fault.SILENT] * 20)
-        connection = await connect(deployment)
         request, stop = await begin_stop(deployment)
         answer = await send_raw(deployment, connection)
         assert answer == b"" or answer.startswith(b"HTTP/1.1 503 ")
