Resume feeds behind the rows that are left out

Cause: since a feed resumes from the newest row that was kept. A row that is left out did not count, so that the feed returned it again at once.

The version of all returned rows counts now. The test fails before (asks from the same version twice).

--- a/src/hibiscushaven/platform/store.py
+++ b/src/hibiscushaven/platform/store.py
@@ -112,8 +112,8 @@
         self._url = f"http://{address}"
         self._session: aiohttp.ClientSession | None = None
         self._servers = _TableCopy(_SERVERS_TABLE)
-        # Version of the operator's state that the last complete read returned, and of that read.
-        self._operator_read_whole = 0, 0
+        # Version of the operator's state as last read, and the one up to which that is complete.
+        self._operator_read = 0, 0
         self._records: dict[str, ServerRecord] = {}
         # Latest era of all responses; 0 before the first one.
         self._era = 0
@@ -122,19 +122,21 @@
     async def read_operator(self, known: OperatorState, wait_s: float) -> OperatorState:
         if known.version:
             # An empty response is no proof that its version has no change: feeds may hide changes.
-            state_version, read_version = self._operator_read_whole
+            state_version, read_version = self._operator_read
             after = read_version if known.version == state_version else known.version
             try:
-                rows, _ = await self._fetch_changes(_OPERATOR_TABLE, after, wait_s)
+                rows, version = await self._fetch_changes(_OPERATOR_TABLE, after, wait_s)
             except _ChangesUnknownError as error:
                 _log_complete_read(_OPERATOR_TABLE, error)
             else:
-                return _with_changes(known, rows)
+                state = _with_changes(known, rows)
+                self._operator_read = state.version, version
+                return state
         values, version = await self._read_all(_OPERATOR_TABLE)
         if version < known.version:
             raise StoreError(f"read at {_describe(version)}, known is {_describe(known.version)}")
         state = _as_of(version, values, known)
-        self._operator_read_whole = state.version, version
+        self._operator_read = state.version, version
         return state
 
     async def read_servers(self) -> ServerListing:
@@ -201,7 +203,9 @@
                 )
                 for row in _of_empty_part(body["Rows"])
             }
-            return rows, max((after, *(version for _, version in rows.values())))
+            # Rows that are left out count as well: the feed would return them at once, for good.
+            newest = max((int(row["Ver"]) for row in body["Rows"]), default=0)
+            return rows, max(after, version_of(era, newest))
         except FIELD_ERRORS as error:
             raise StoreError(f"malformed changes of table {table!r}: {describe(error)}") from error
 
--- a/src/hibiscushaven/platform/tests/test_store.py
+++ b/src/hibiscushaven/platform/tests/test_store.py
@@ -425,6 +425,27 @@
     run(scenario)
 
 
+def test_rows_of_other_parts_are_returned_once():
+    """Guards against a feed that is read without a pause, as it returns the same row each time."""
+
+    async def scenario(stand_in, client):
+        stand_in.put("op", "config", configuration_row(7))
+        known = await client.read_operator(OperatorState(), 0.0)
+        feed, asked = stand_in._rows_feed, []
+
+        async def record(request):
+            asked.append(int(request.query["after"]))
+            return await feed(request)
+
+        stand_in._rows_feed, stand_in.part = record, "other"
+        stand_in.put("op", "config", configuration_row(8))
+        for _ in range(2):
+            assert await client.read_operator(known, 0.0) is known
+        assert asked == [stand_in.version - 1, stand_in.version]
+
+    run(scenario)
+
+
 def test_quiet_tables_are_read_whole_once_when_the_history_has_expired():
     """Guards against a complete read in place of each read of the changes."""
 
