--- a/src/hibiscushaven/fleet/tests/test_fleet.py
+++ b/src/hibiscushaven/fleet/tests/test_fleet.py
@@ -5,6 +5,7 @@
 import math
 import random
 
+import msgpack
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -260,8 +261,6 @@
 
 def test_fields_of_later_builds_are_ignored():
     """Guards against VMs that drop the messages of newer ones during an upgrade."""
-    import msgpack
-
     state, response = make_state(in_progress={TOKEN: 3}), make_sync_response()
     later = msgpack.packb([*msgpack.unpackb(encode(state), strict_map_key=False), "new", 1])
     assert decode(later) == state
