Send unknown ages in the range of messages

Cause: the age that confirms nothing was the largest number that a message may hold, and an elapsed time was added to it. On VMs that are up for some hours, single precision rounds the sum up, so that receivers dropped the state.

An unknown age is 1e9 s now, and no age is sent above it.

--- a/src/hibiscushaven/gateway/read_proofs.py
+++ b/src/hibiscushaven/gateway/read_proofs.py
@@ -4,8 +4,8 @@
 
 __all__ = ["UNKNOWN_AGE_S", "ReadProofs"]
 
-# Age that confirms nothing, above the time since any boot.
-UNKNOWN_AGE_S = 1e12
+# Age that confirms nothing: above the time since any boot, and in the range of messages.
+UNKNOWN_AGE_S = 1e9
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -16,7 +16,7 @@
     read_at: float = -UNKNOWN_AGE_S
 
     def age_s(self, now: float, version: int) -> float:
-        return now - self.read_at if version == self.version else UNKNOWN_AGE_S
+        return min(now - self.read_at, UNKNOWN_AGE_S) if version == self.version else UNKNOWN_AGE_S
 
 
 class ReadProofs:
