Log who said that a request has not run, and whether the response named it

The record of the refused requests that ran cannot tell a refusal of a backend server from one by a peer or by the VM itself, nor whether a response was taken for proof although it names no request. The log line of a request has both now, in not_run_by and refusals, and the line of a failed attempt has outcome, status and names_request. Requests that are refused for their size or slowness were logged without an id.

--- a/src/hibiscushaven/delivery/outcome.py
+++ b/src/hibiscushaven/delivery/outcome.py
@@ -72,6 +72,7 @@
     :ivar retry_after_s: the backend server's ``Retry-After``, in seconds.
     :ivar headers: headers of the server's own response that refused the request, if there is one.
     :ivar status: status of that response.
+    :ivar names_request: whether a response that refused the request names it.
     """
 
     def __init__(
@@ -81,8 +82,10 @@
         retry_after_s: float | None = None,
         headers: Headers | None = None,
         status: int = 0,
+        names_request: bool = False,
     ) -> None:
         super().__init__(f"{kind.value}: {detail}")
+        self.names_request = names_request
         self.status = status
         self.kind = kind
         self.retry_after_s = retry_after_s
--- a/src/hibiscushaven/forwarding/context.py
+++ b/src/hibiscushaven/forwarding/context.py
@@ -8,6 +8,7 @@
 from hibiscushaven.routing import Route
 
 from .messages import CallerRequest, CallerResponse
+from .refusals import Refusal
 
 __all__ = ["RequestContext"]
 
@@ -23,6 +24,7 @@
     :ivar attempt_started_at: start time of the latest attempt.
     :ivar connect_failures: number of attempts that ended before anything was sent.
     :ivar may_have_run: whether a backend server may have run it.
+    :ivar refusals: responses of backend servers and peers that say that it has not run.
     :ivar last_error: reason why the latest attempt or placement failed.
     :ivar placement: placement of the latest attempt.
     :ivar rejection: latest rejection by the picker.
@@ -44,6 +46,7 @@
     attempt_started_at: float = 0.0
     connect_failures: int = 0
     may_have_run: bool = False
+    refusals: list[Refusal] = field(default_factory=list)
     last_error: str = ""
     placement: Placement | None = None
     rejection: PlacementRejection | None = None
--- a/src/hibiscushaven/forwarding/forwarder.py
+++ b/src/hibiscushaven/forwarding/forwarder.py
@@ -41,6 +41,7 @@
 from .context import RequestContext
 from .links import IntactLinks, Links
 from .messages import CallerRequest, CallerResponse, failure_response, rejection_response
+from .refusals import NOT_RUN_STATUSES, Refusal, RefusalSource
 from .relaying import PeerRelay, name_server, relay_refusal
 from .reporter import Reporter
 
@@ -50,9 +51,6 @@
 # of the time left.
 MAX_CONNECT_FAILURES = 3
 
-# Statuses that tell a caller that its request has not run and will not.
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-
 # Failed attempts that may be due to the links of this VM, and those that show that they work.
 _LINK_FAILURES = frozenset(
     {FailureKind.NOT_CONNECTED, FailureKind.CONNECTION_LOST, FailureKind.SILENT}
@@ -449,6 +447,8 @@
             return None
         context.sent_attempts += 1
         if kind in (FailureKind.REFUSED, FailureKind.MISDIRECTED):
+            refusal = Refusal(RefusalSource.SERVER, server_id, error.status, error.names_request)
+            context.refusals.append(refusal)
             return None
         context.may_have_run = True
         if kind is FailureKind.DEADLINE:
--- a/src/hibiscushaven/forwarding/messages.py
+++ b/src/hibiscushaven/forwarding/messages.py
@@ -59,7 +59,12 @@
 
 
 class CallerDialect(Protocol):
-    """Port to the headers that callers send with their requests."""
+    """Port to the headers that callers send with their requests.
+
+    :ivar id_header: header field with the id of a request.
+    """
+
+    id_header: str
 
     def read(
         self, headers: Headers, method: str, path: str, target: str, body: bytes, now: float
--- a/src/hibiscushaven/forwarding/relaying.py
+++ b/src/hibiscushaven/forwarding/relaying.py
@@ -20,6 +20,7 @@
 from .bodies import buffer_body
 from .context import RequestContext
 from .messages import CallerDialect, CallerRequest, CallerResponse, rejection_response
+from .refusals import NOT_RUN_STATUSES, Refusal, RefusalSource
 
 __all__ = [
     "PeerRelay",
@@ -86,6 +87,7 @@
 
     def __init__(self, callers: CallerDialect) -> None:
         self._callers = callers
+        self.id_header = callers.id_header
 
     def read(
         self, headers: Headers, method: str, path: str, target: str, body: bytes, now: float
@@ -184,16 +186,26 @@
                 self._count(error.kind.value)
                 if not (error.kind.is_before_sending or error.kind is FailureKind.REFUSED):
                     raise
+                if error.kind is FailureKind.REFUSED:
+                    self._record_refusal(context, peer, error.status, error.headers or ())
                 if not _is_temporary_refusal(error):
                     self._backoff_until[peer] = self._now() + PEER_BACKOFF_S
                 continue
             self._count("answered")
+            if head.status in NOT_RUN_STATUSES:
+                self._record_refusal(context, peer, head.status, head.headers)
             context.relayed_to = str(peer)
             context.relayed_server = find_header(head.headers, SERVER_HEADER)
             headers = _without_relay_headers(head.headers)
             return CallerResponse(head.status, headers, body, body_stream, head.content_length)
         return None
 
+    def _record_refusal(
+        self, context: RequestContext, peer: Endpoint, status: int, headers: Headers
+    ) -> None:
+        # No header of a peer's response names the request.
+        context.refusals.append(Refusal(RefusalSource.PEER, str(peer), status, False))
+
     def _candidates(self, home_regions: frozenset[str]) -> list[Endpoint]:
         now = self._now()
         self._backoff_until = {
--- a/src/hibiscushaven/forwarding/reporter.py
+++ b/src/hibiscushaven/forwarding/reporter.py
@@ -9,6 +9,7 @@
 
 from .context import RequestContext
 from .messages import CallerRequest, CallerResponse
+from .refusals import deciding_source
 
 __all__ = ["Reporter"]
 
@@ -32,6 +33,9 @@
                 "fingerprint": context.fingerprint,
                 "stop": error.kind.value,
                 "why": str(error),
+                "outcome": error.outcome.value,
+                "status": error.status,
+                "names_request": error.names_request,
                 "left_s": round(context.deadline - self._now(), 3),
             },
         )
@@ -79,6 +83,10 @@
             "elapsed_s": round(elapsed_s, 4),
             "configuration": version,
         }
+        refusals = context.refusals if context is not None else []
+        source = deciding_source(status, refusals)
+        if source is not None:
+            extra["not_run_by"] = source.value
         if context is not None:
             label = context.route.kind.value
             self._metrics.histogram("request_seconds", context.service, label).record(elapsed_s)
@@ -95,6 +103,8 @@
                 "why": context.last_error,
                 "object": request.object_key,
             }
+            if refusals:
+                extra["refusals"] = [refusal.to_log() for refusal in refusals]
             extra |= _placement_fields(context)
             extra |= _relay_fields(context)
         _LOG.info("request ended", extra=extra)
--- a/src/hibiscushaven/gateway/daemon.py
+++ b/src/hibiscushaven/gateway/daemon.py
@@ -153,7 +153,12 @@
         relay_app = CallerApp(self._forwarder, RelayedCallers(callers), clock)
         self._caller_limits = _connection_limits(CallerLimits(idle_timeout_s=CALLER_IDLE_S))
         self._servers = [
-            _make_server(self._app, options.callers_at, lambda: self._caller_limits),
+            _make_server(
+                self._app,
+                options.callers_at,
+                lambda: self._caller_limits,
+                callers.id_header,
+            ),
             _make_server(Starlette(routes=[self._readiness_route()]), options.readiness_at),
             _make_server(Starlette(routes=[self._directory_route()]), options.directory_at),
             _make_server(relay_app, options.relay_at),
@@ -358,10 +363,19 @@
 
 
 def _make_server(
-    app: object, address: Endpoint, limits: Callable[[], ConnectionLimits] | None = None
+    app: object,
+    address: Endpoint,
+    limits: Callable[[], ConnectionLimits] | None = None,
+    id_header: str = "",
 ) -> HttpServer:
     return HttpServer(
-        app, address.host, address.port, CALLER_IDLE_S, adds_date_header=False, limits=limits
+        app,
+        address.host,
+        address.port,
+        CALLER_IDLE_S,
+        adds_date_header=False,
+        limits=limits,
+        id_header=id_header,
     )
 
 
--- a/src/hibiscushaven/gateway/tests/simulated_backends.py
+++ b/src/hibiscushaven/gateway/tests/simulated_backends.py
@@ -275,6 +275,8 @@
 class _CallerDialect:
     """Reads the object key from the path, since the simulated callers send no cookies."""
 
+    id_header = "Request-Id"
+
     def __init__(self, request):
         self._request = request
 
--- a/src/hibiscushaven/platform/dialects.py
+++ b/src/hibiscushaven/platform/dialects.py
@@ -31,6 +31,8 @@
 class PlatformCallers:
     """Converts requests of callers, with their headers and cookies."""
 
+    id_header = "Request-Id"
+
     def read(
         self, headers: Headers, method: str, path: str, target: str, body: bytes, now: float
     ) -> CallerRequest:
@@ -39,7 +41,7 @@
             remaining_ms is not None and _UNSIGNED_INT.fullmatch(remaining_ms) is not None
         )
         return CallerRequest(
-            request_id=find_header(headers, "Request-Id") or "",
+            request_id=find_header(headers, self.id_header) or "",
             method=method,
             host=find_header(headers, "Host") or "",
             path=path,
@@ -92,7 +94,10 @@
             detail = f"{request.server} answered {head.status}, not run"
             # A response with 421 is that of another server at the address.
             headers = head.headers if stop is FailureKind.REFUSED else None
-            raise AttemptError(stop, detail, headers=headers, status=head.status)
+            names_request = echoed_id is not None
+            raise AttemptError(
+                stop, detail, headers=headers, status=head.status, names_request=names_request
+            )
         if find_header(head.headers, "Content-Encoding") is not None:
             raise AttemptError(FailureKind.MALFORMED, f"{request.server} sent an encoded body")
         if head.status < 300 and (
--- a/src/hibiscushaven/process/caller_protocol.py
+++ b/src/hibiscushaven/process/caller_protocol.py
@@ -84,11 +84,19 @@
     caller cannot learn of a shorter one before the next response.
 
     :param limits: returns the limits in force.
+    :param id_header: lower-case name of the header field with a request's id, for the log.
     """
 
-    def __init__(self, *args: Any, limits: Callable[[], ConnectionLimits], **options: Any) -> None:
+    def __init__(
+        self,
+        *args: Any,
+        limits: Callable[[], ConnectionLimits],
+        id_header: str = "",
+        **options: Any,
+    ) -> None:
         super().__init__(*args, **options)
         self._limits = limits
+        self._id_header = id_header.encode()
         self._is_in_head = False
         self._received_bytes = 0
         self._parsed_head_bytes = 0
@@ -174,10 +182,18 @@
             cycle.message_event.set()
             self._reject(408)
 
+    def _request_id(self) -> str:
+        """Return the id in the head of the request that is being received, if it has arrived."""
+        fields = (value for name, value in self.headers or () if name == self._id_header)
+        return next(fields, b"").decode("latin-1")
+
     def _reject(self, status: int) -> None:
         """Respond to a request that has not arrived completely, and end the connection."""
         self._is_rejected = True
-        self.logger.warning("request of a caller refused", extra={"status": status})
+        self.logger.warning(
+            "request of a caller refused",
+            extra={"request_id": self._request_id(), "status": status, "not_run_by": "vm"},
+        )
         if self._is_in_head and self.cycle is not None and not self.cycle.response_complete:
             # The previous request is still being answered; its response closes the connection.
             self.cycle.keep_alive = False
--- a/src/hibiscushaven/process/server.py
+++ b/src/hibiscushaven/process/server.py
@@ -47,6 +47,7 @@
     :param adds_date_header: whether to add a ``Date`` header to responses without one.
     :param limits: returns the limits of each connection, which may change while the server
         runs; ``None`` for none.
+    :param id_header: name of the header field with a request's id, for the log.
     """
 
     def __init__(
@@ -57,8 +58,11 @@
         keep_alive_s: int = 15,
         adds_date_header: bool = True,
         limits: Callable[[], ConnectionLimits] | None = None,
+        id_header: str = "",
     ) -> None:
-        protocol = RequestProtocol if limits is None else partial(CallerProtocol, limits=limits)
+        protocol = RequestProtocol
+        if limits is not None:
+            protocol = partial(CallerProtocol, limits=limits, id_header=id_header.lower())
         config = uvicorn.Config(
             app,
             host=host,
--- a/src/hibiscushaven/process/tests/test_caller_protocol.py
+++ b/src/hibiscushaven/process/tests/test_caller_protocol.py
@@ -104,7 +104,12 @@
         config = uvicorn.Config(self.app, log_config=None, lifespan="off", ws="none")
         config.load()
         self.protocol = CallerProtocol(
-            config, ServerState(), {}, _loop=self.loop, limits=lambda: self.limits
+            config,
+            ServerState(),
+            {},
+            _loop=self.loop,
+            limits=lambda: self.limits,
+            id_header="request-id",
         )
         self.protocol.connection_made(self.transport)
 
@@ -208,6 +213,19 @@
     run_scenario(scenario)
 
 
+def test_log_names_the_request_whose_body_stalled(run_scenario, caplog):
+    """Guards against rejections that cannot be found by the id of their request."""
+
+    async def scenario(connection):
+        await connection.receive(PARTIAL_BODY.replace(b"Host", b"Request-Id: id-1\r\nHost"))
+        connection.loop.advance(15.1)
+        await connection.settle()
+        line = next(item for item in caplog.records if item.msg == "request of a caller refused")
+        assert (line.request_id, line.status, line.not_run_by) == ("id-1", 408, "vm")
+
+    run_scenario(scenario)
+
+
 def test_slow_response_to_complete_request_is_not_a_timeout(run_scenario):
     """Guards against applying the idle timeout while a complete request is processed."""
 
