Take no refusal that names no request for proof that it has not run

Callers were told 503, not run, for requests that a backend server ran, or these ran at a second server too. A response with Not-Executed or status 421 was believed also without the id of its request, so that a stray one on a connection, in front of the server's own response, counted as the answer to the request that was just sent.

So a refusal without it is an unknown outcome now: a request that is not idempotent is answered 502, others are retried. What such a response says about its server is not used either.

test_repeated_refusal_is_no_proof_about_the_next_request took the unnamed refusal on a new connection for proof. It expects an unknown outcome there now, which is stricter: the next request is checked as before.

--- a/src/hibiscushaven/delivery/outcome.py
+++ b/src/hibiscushaven/delivery/outcome.py
@@ -19,6 +19,7 @@
     DEADLINE_BEFORE_SENDING = "deadline-before-sending"
     REFUSED = "refused"
     MISDIRECTED = "misdirected"
+    UNNAMED_REFUSAL = "unnamed-refusal"
     DEADLINE = "deadline"
     CONNECTION_LOST = "connection-lost"
     SILENT = "silent"
@@ -49,14 +50,15 @@
     ===========
 
     The outcome is ``not-run`` only if no byte of the request was written, or if the backend
-    server reported that it did not run the request. Otherwise the outcome is ``unknown``.
+    server reported that it did not run the request. Otherwise the outcome is ``unknown``, also
+    after a refusal that names no request, since it may belong to another one.
 
     Examples
     ========
 
     >>> outcome_of(FailureKind.GUARD_REFUSED).value
     'not-run'
-    >>> outcome_of(FailureKind.CONNECTION_LOST).value
+    >>> outcome_of(FailureKind.UNNAMED_REFUSAL).value
     'unknown'
 
     """
--- a/src/hibiscushaven/entry/jobs.py
+++ b/src/hibiscushaven/entry/jobs.py
@@ -20,6 +20,7 @@
     FailureKind.GUARD_REFUSED: ResultKind.CANCELLED,
     FailureKind.REFUSED: ResultKind.REFUSED,
     FailureKind.MISDIRECTED: ResultKind.REFUSED,
+    FailureKind.UNNAMED_REFUSAL: ResultKind.FAILED,
     FailureKind.DEADLINE: ResultKind.TIMED_OUT,
     FailureKind.SILENT: ResultKind.TIMED_OUT,
     FailureKind.CONNECTION_LOST: ResultKind.CRASHED,
--- a/src/hibiscushaven/forwarding/forwarder.py
+++ b/src/hibiscushaven/forwarding/forwarder.py
@@ -59,11 +59,17 @@
     {
         FailureKind.REFUSED,
         FailureKind.MISDIRECTED,
+        FailureKind.UNNAMED_REFUSAL,
         FailureKind.MALFORMED,
         FailureKind.WRONG_ATTEMPT_ID,
     }
 )
 
+# Responses that may not be those to the attempt.
+_FAULTY_RESPONSES = frozenset(
+    {FailureKind.UNNAMED_REFUSAL, FailureKind.MALFORMED, FailureKind.WRONG_ATTEMPT_ID}
+)
+
 # Backoff of a backend server whose address now belongs to another one; its record is removed
 # within seconds.
 MISDIRECTED_BACKOFF_S = 5.0
@@ -433,7 +439,7 @@
             is_failure = notice is None or not notice.pause_s
             load.on_response(now, None, is_failure=is_failure, report=None)
             self._picker.record_response(now, server_id)
-        elif kind in (FailureKind.MALFORMED, FailureKind.WRONG_ATTEMPT_ID):
+        elif kind in _FAULTY_RESPONSES:
             load.on_response(now, None, is_failure=True, report=None)
         elif kind is FailureKind.MISDIRECTED:
             load.backoff_until = now + MISDIRECTED_BACKOFF_S
--- a/src/hibiscushaven/platform/dialects.py
+++ b/src/hibiscushaven/platform/dialects.py
@@ -90,14 +90,7 @@
             detail = f"{request.server} answered {echoed_id!r} to {request.attempt_id!r}"
             raise AttemptError(FailureKind.WRONG_ATTEMPT_ID, detail)
         if is_refused or head.status == _MISDIRECTED:
-            stop = FailureKind.MISDIRECTED if head.status == _MISDIRECTED else FailureKind.REFUSED
-            detail = f"{request.server} answered {head.status}, not run"
-            # A response with 421 is that of another server at the address.
-            headers = head.headers if stop is FailureKind.REFUSED else None
-            names_request = echoed_id is not None
-            raise AttemptError(
-                stop, detail, headers=headers, status=head.status, names_request=names_request
-            )
+            raise _refusal(head, request, echoed_id is not None)
         if find_header(head.headers, "Content-Encoding") is not None:
             raise AttemptError(FailureKind.MALFORMED, f"{request.server} sent an encoded body")
         if head.status < 300 and (
@@ -120,6 +113,23 @@
         )
 
 
+def _refusal(head: AttemptResponse, request: AttemptRequest, names_request: bool) -> AttemptError:
+    """Return the error for a response that says that its request has not run."""
+    detail = f"{request.server} answered {head.status}, not run"
+    if not names_request:
+        # It may belong to an earlier request on the connection, or to none.
+        detail = f"{detail}, and names no request"
+        return AttemptError(FailureKind.UNNAMED_REFUSAL, detail, status=head.status)
+    if head.status == _MISDIRECTED:
+        # The headers are those of another server at the address.
+        return AttemptError(
+            FailureKind.MISDIRECTED, detail, status=_MISDIRECTED, names_request=True
+        )
+    return AttemptError(
+        FailureKind.REFUSED, detail, headers=head.headers, status=head.status, names_request=True
+    )
+
+
 def _load_report(headers: Headers) -> LoadReport | None:
     """Return the load that a backend server reports, if it is valid."""
     value = find_header(headers, "Server-Load")
--- a/src/hibiscushaven/platform/tests/test_faulty_backends.py
+++ b/src/hibiscushaven/platform/tests/test_faulty_backends.py
@@ -64,7 +64,7 @@
         body=b"order",
         between=server.repeat_while_idle,
     )
-    assert results[0].outcome is Outcome.NOT_RUN
+    assert results[0].outcome is (Outcome.NOT_RUN if names_request else Outcome.UNKNOWN)
     assert server.runs == ["id-1"]
     if isinstance(results[1], AttemptError):
         assert results[1].outcome is Outcome.UNKNOWN
@@ -72,6 +72,24 @@
         assert results[1] == (200, b"whole")
 
 
+@pytest.mark.parametrize("status", REFUSALS)
+@pytest.mark.parametrize("is_connection_new", [True, False])
+def test_refusal_that_names_no_request_is_no_proof_that_it_has_not_run(status, is_connection_new):
+    """Guards against a caller that is told "not run" because of a stray refusal."""
+    runs = []
+
+    async def refuse_and_run(head, writer):
+        runs.append(header(head, "Request-Id"))
+        writer.write(REFUSALS[status].format(id="").encode())
+        await response()(head, writer)
+
+    scripts = [refuse_and_run] if is_connection_new else [response(b"first"), refuse_and_run]
+    results, stand_in = attempt_all(scripts, count=len(scripts), method="POST", body=b"order")
+    assert runs == [f"id-{len(scripts) - 1}"] and stand_in.connections == 1
+    assert results[-1].outcome is Outcome.UNKNOWN
+    assert results[-1].kind is FailureKind.UNNAMED_REFUSAL
+
+
 HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: id-0\r\nResponse-Seal: 1.2\r\nContent-Length: 12\r\n\r\n"
 
 
