Answer a stalled body of a later request only after the earlier ones

A caller that sends a second request before the response to the first, and stops in the middle of the second body, was told 408 at once.

The request that stalled is dropped, and the response to the last one before it closes the connection, as for a late head. Callers take a connection that is closed without a response as unknown. On the sources before, both cases of the new test fail: the 408 is written first.

--- a/src/hibiscushaven/process/caller_protocol.py
+++ b/src/hibiscushaven/process/caller_protocol.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol, RequestResponseCycle
 
 from .request_parser import RequestParser
 
@@ -45,12 +45,15 @@
     ===========
 
     The response to a request that is in progress precedes the one to bytes that are no request.
+    Responses name no request, so that a caller takes each for that to its earliest request
+    without one.
     """
 
     def __init__(self, *args: Any, **options: Any) -> None:
         super().__init__(*args, **options)
         self.parser = RequestParser(self)
         self._is_rejected = False
+        self._running_cycle: RequestResponseCycle | None = None
 
     def data_received(self, data: bytes) -> None:
         if not self._is_rejected:
@@ -69,6 +72,23 @@
             cycle.message_event.set()
         super().send_400_response(msg)
 
+    def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
+        self._running_cycle = cycle
+        super()._start_asgi_task(cycle, app)
+
+    def _drop_queued_request(self) -> bool:
+        """Drop the request that is being received if an earlier one is in progress.
+
+        :returns: whether there is one. The connection ends after the earlier requests.
+        """
+        if not self.pipeline:
+            return False
+        self.pipeline.popleft()
+        self.cycle = self.pipeline[0][0] if self.pipeline else self._running_cycle
+        self.cycle.keep_alive = False
+        self._is_rejected = True
+        return True
+
 
 class CallerProtocol(RequestProtocol):
     """Parses requests, and closes connections that exceed the limits.
@@ -198,6 +218,8 @@
             # The previous request is still being answered; its response closes the connection.
             self.cycle.keep_alive = False
             return
+        if self._drop_queued_request():
+            return
         self.transport.write(
             b"HTTP/1.1 %d %b\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
             % (status, _REASON_PHRASES[status])
--- a/src/hibiscushaven/process/tests/test_caller_protocol.py
+++ b/src/hibiscushaven/process/tests/test_caller_protocol.py
@@ -213,6 +213,30 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("has_complete_request_between", [True, False])
+def test_stalled_body_of_a_later_request_is_not_answered_before_earlier_ones(
+    run_scenario, has_complete_request_between
+):
+    """Guards against a rejection that a caller takes for that of a request in progress."""
+
+    async def scenario(connection):
+        between = PARTIAL_BODY + b"second" if has_complete_request_between else b""
+        await connection.receive(HEAD + between + PARTIAL_BODY)
+        connection.loop.advance(15.1)
+        await connection.settle()
+        assert connection.written == b"" and not connection.transport.is_closed
+        connection.app.may_respond.set()
+        await connection.settle()
+        responses = 2 if has_complete_request_between else 1
+        assert connection.written.count(b"HTTP/1.1 ") == responses
+        assert connection.written.count(b"HTTP/1.1 200 ") == responses
+        assert connection.written.count(b"connection: close") == 1
+        assert connection.transport.is_closed
+        assert len(connection.app.requests) == responses
+
+    run_scenario(scenario)
+
+
 def test_log_names_the_request_whose_body_stalled(run_scenario, caplog):
     """Guards against rejections that cannot be found by the id of their request."""
 
