End a connection whose queued request has a malformed body

A request that waits behind another one on its connection, and whose body is no HTTP, was started after the first one although the rest of its body is never read: it waited for good, and the caller got neither a response nor the end of the connection. The request is dropped now, and the connection ends after the response before it. On the sources before the new test fails, since nothing is closed.

--- a/src/hibiscushaven/process/caller_protocol.py
+++ b/src/hibiscushaven/process/caller_protocol.py
@@ -63,10 +63,12 @@
         """Respond to bytes that are no request, after the response in progress if there is one."""
         cycle = self.cycle
         if cycle is not None and not cycle.response_complete:
-            if not cycle.more_body or self.pipeline:
+            if not cycle.more_body:
                 self._is_rejected = True
                 cycle.keep_alive = False
                 return
+            if self._drop_queued_request():
+                return
             # The bytes are those of the body, so that the request has not been forwarded.
             cycle.disconnected = True
             cycle.message_event.set()
--- a/src/hibiscushaven/process/tests/test_caller_protocol.py
+++ b/src/hibiscushaven/process/tests/test_caller_protocol.py
@@ -237,6 +237,21 @@
     run_scenario(scenario)
 
 
+def test_malformed_body_of_a_later_request_ends_the_connection_after_earlier_ones(run_scenario):
+    """Guards against a queued request that waits for the rest of its body for good."""
+
+    async def scenario(connection):
+        head = b"POST /x/2 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        await connection.receive(HEAD + head + b"no chunk\r\n")
+        assert connection.written == b""
+        connection.app.may_respond.set()
+        await connection.settle()
+        assert connection.written.startswith(b"HTTP/1.1 200 ") and b"400" not in connection.written
+        assert connection.transport.is_closed and connection.app.events == ["read"]
+
+    run_scenario(scenario)
+
+
 def test_log_names_the_request_whose_body_stalled(run_scenario, caplog):
     """Guards against rejections that cannot be found by the id of their request."""
 
