Let peers name the relayed request in their responses

The response of a peer to a relayed request names no request, and its connection is kept. A stray response would be taken for that to the next relayed request: a rejection is final, so the caller would be told that its request has not run while the peer's server runs it.

Each transfer has an id of its own, which the peer returns. A response with another id is not used; a refusal or a status that promises "not run" without any id is an unknown outcome, and its connection is closed. Other responses of peers of older builds are used as before.

--- a/src/hibiscushaven/forwarding/forwarder.py
+++ b/src/hibiscushaven/forwarding/forwarder.py
@@ -42,7 +42,7 @@
 from .links import IntactLinks, Links
 from .messages import CallerRequest, CallerResponse, failure_response, rejection_response
 from .refusals import NOT_RUN_STATUSES, Refusal, RefusalSource
-from .relaying import PeerRelay, name_server, relay_refusal
+from .relaying import PeerRelay, name_server, name_transfer, relay_refusal
 from .reporter import Reporter
 
 __all__ = ["Forwarder", "NoticeReader", "RetryBudgetOptions"]
@@ -219,6 +219,7 @@
                 response, context = context, None
             else:
                 response = await self._forward(context)
+            response = name_transfer(response, request)
             return response
         finally:
             self.in_progress -= 1
--- a/src/hibiscushaven/forwarding/messages.py
+++ b/src/hibiscushaven/forwarding/messages.py
@@ -25,6 +25,7 @@
     :ivar received_at: time of arrival on the daemon's clock.
     :ivar relayed_attempts: attempts that are left if another VM relayed the request, otherwise
         ``None``.
+    :ivar relay_id: id of its transfer by the VM that relayed it, empty if none did.
     :ivar min_configuration: oldest version of the configuration by which it may be routed.
     """
 
@@ -39,6 +40,7 @@
     time_left_s: float | None
     received_at: float
     relayed_attempts: int | None = None
+    relay_id: str = ""
     min_configuration: int = 0
 
 
--- a/src/hibiscushaven/forwarding/relaying.py
+++ b/src/hibiscushaven/forwarding/relaying.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import re
+import secrets
 from collections.abc import Callable, Sequence
 from dataclasses import replace
 
@@ -28,6 +29,7 @@
     "RelayedCallers",
     "is_relay_refusal",
     "name_server",
+    "name_transfer",
     "relay_refusal",
 ]
 
@@ -37,6 +39,7 @@
 REFUSAL_HEADER = "Relay-Refused"
 SERVER_HEADER = "Relay-Server"
 CONFIGURATION_HEADER = "Relay-Configuration"
+ID_HEADER = "Relay-Id"
 
 # Value of the refusal header if the peer may take other requests, or this one soon.
 TEMPORARY_REFUSAL = "old"
@@ -55,27 +58,50 @@
         REFUSAL_HEADER,
         SERVER_HEADER,
         CONFIGURATION_HEADER,
+        ID_HEADER,
     )
 )
 _COUNT = re.compile(r"[0-9]{1,9}")
+_RELAY_ID = re.compile(r"[0-9a-f]{16}")
+_RELAY_ID_BYTES = 8
 
 
 class RelayDialect:
-    """Headers of relayed requests, as seen by the VM that sends them."""
+    """Headers of relayed requests, as seen by the VM that sends them.
 
-    own_headers = frozenset({TIME_LEFT_HEADER.lower()})
-    id_header = None
+    Explanation
+    ===========
+
+    A peer returns the id of the transfer with its response. Peers of older builds return none.
+    Their responses are used unless they say that the request has not run, since nothing proves
+    that they belong to it.
+    """
+
+    own_headers = frozenset({TIME_LEFT_HEADER.lower(), ID_HEADER.lower()})
+    id_header = ID_HEADER
 
     def request_headers(self, request: AttemptRequest, remaining_ms: int) -> Headers:
-        return ((TIME_LEFT_HEADER, str(max(1, remaining_ms))),)
+        return (
+            (TIME_LEFT_HEADER, str(max(1, remaining_ms))),
+            (ID_HEADER, request.attempt_id),
+        )
 
     def check_response(self, response: AttemptResponse, request: AttemptRequest) -> None:
-        if is_relay_refusal(response.headers):
+        returned_id = find_header(response.headers, ID_HEADER)
+        if returned_id is not None and returned_id != request.attempt_id:
+            detail = f"{request.server} answered {returned_id!r} to {request.attempt_id!r}"
+            raise AttemptError(FailureKind.WRONG_ATTEMPT_ID, detail)
+        is_refused = is_relay_refusal(response.headers)
+        if returned_id is None and (is_refused or response.status in NOT_RUN_STATUSES):
+            detail = f"{request.server} answered {response.status} and names no request"
+            raise AttemptError(FailureKind.UNNAMED_REFUSAL, detail, status=response.status)
+        if is_refused:
             raise AttemptError(
                 FailureKind.REFUSED,
                 f"{request.server} did not take the request",
                 headers=response.headers,
                 status=response.status,
+                names_request=True,
             )
 
 
@@ -100,6 +126,7 @@
             request,
             time_left_s=request.time_left_s if time_left_ms is None else time_left_ms / 1000,
             relayed_attempts=1 if attempts is None else attempts,
+            relay_id=_relay_id(headers),
             min_configuration=_count(headers, CONFIGURATION_HEADER) or 0,
         )
 
@@ -122,6 +149,14 @@
     return (*_without_relay_headers(headers), (SERVER_HEADER, process_id))
 
 
+def name_transfer(response: CallerResponse, request: CallerRequest) -> CallerResponse:
+    """Return a response with the id by which the VM that relayed its request recognizes it."""
+    if not request.relay_id:
+        return response
+    headers = (*_without_id(response.headers), (ID_HEADER, request.relay_id))
+    return replace(response, headers=headers)
+
+
 def is_relay_refusal(headers: Headers) -> bool:
     """Return whether a response says that the peer did not take the request."""
     return find_header(headers, REFUSAL_HEADER) is not None
@@ -136,6 +171,15 @@
     return tuple(item for item in headers if item[0].lower() not in _RELAY_HEADERS)
 
 
+def _without_id(headers: Headers) -> Headers:
+    return tuple(item for item in headers if item[0].lower() != ID_HEADER.lower())
+
+
+def _relay_id(headers: Headers) -> str:
+    value = find_header(headers, ID_HEADER)
+    return value if value is not None and _RELAY_ID.fullmatch(value) else ""
+
+
 def _count(headers: Headers, name: str) -> int | None:
     value = find_header(headers, name)
     return int(value) if value is not None and _COUNT.fullmatch(value) else None
@@ -187,24 +231,22 @@
                 if not (error.kind.is_before_sending or error.kind is FailureKind.REFUSED):
                     raise
                 if error.kind is FailureKind.REFUSED:
-                    self._record_refusal(context, peer, error.status, error.headers or ())
+                    self._record_refusal(context, peer, error.status)
                 if not _is_temporary_refusal(error):
                     self._backoff_until[peer] = self._now() + PEER_BACKOFF_S
                 continue
             self._count("answered")
             if head.status in NOT_RUN_STATUSES:
-                self._record_refusal(context, peer, head.status, head.headers)
+                self._record_refusal(context, peer, head.status)
             context.relayed_to = str(peer)
             context.relayed_server = find_header(head.headers, SERVER_HEADER)
             headers = _without_relay_headers(head.headers)
             return CallerResponse(head.status, headers, body, body_stream, head.content_length)
         return None
 
-    def _record_refusal(
-        self, context: RequestContext, peer: Endpoint, status: int, headers: Headers
-    ) -> None:
-        # No header of a peer's response names the request.
-        context.refusals.append(Refusal(RefusalSource.PEER, str(peer), status, False))
+    def _record_refusal(self, context: RequestContext, peer: Endpoint, status: int) -> None:
+        # The dialect accepts no refusal without the id.
+        context.refusals.append(Refusal(RefusalSource.PEER, str(peer), status, True))
 
     def _candidates(self, home_regions: frozenset[str]) -> list[Endpoint]:
         now = self._now()
@@ -229,7 +271,7 @@
             server=peer,
             method=request.method,
             target=request.target,
-            attempt_id=request.request_id,
+            attempt_id=secrets.token_hex(_RELAY_ID_BYTES),
             deadline=asyncio.get_running_loop().time() + left_s,
             headers=(*_without_relay_headers(request.headers), *own_headers),
             body=request.body,
