Believe a refusal only with a status with which servers refuse

A response with Not-Executed was taken for proof with any status, such as a success or the server's own 500 and 504, which count as run. Such a response contradicts itself: the outcome is unknown now. On the sources before, the five cases of the new test fail.

--- a/src/hibiscushaven/platform/dialects.py
+++ b/src/hibiscushaven/platform/dialects.py
@@ -21,6 +21,8 @@
 
 _MISDIRECTED = 421
 _UNAVAILABLE = 503
+# Statuses with which backend servers refuse a request without running it.
+_REFUSAL_STATUSES = frozenset({400, _MISDIRECTED, 429, _UNAVAILABLE})
 _UNSIGNED_INT = re.compile(r"[0-9]{1,9}")
 _LOG = logging.getLogger(__name__)
 _DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
@@ -89,6 +91,9 @@
         if request.attempt_id and echoed_id is not None and echoed_id != request.attempt_id:
             detail = f"{request.server} answered {echoed_id!r} to {request.attempt_id!r}"
             raise AttemptError(FailureKind.WRONG_ATTEMPT_ID, detail)
+        if is_refused and head.status not in _REFUSAL_STATUSES:
+            detail = f"{request.server} answered {head.status} and that it did not run the request"
+            raise AttemptError(FailureKind.MALFORMED, detail, status=head.status)
         if is_refused or head.status == _MISDIRECTED:
             raise _refusal(head, request, echoed_id is not None)
         if find_header(head.headers, "Content-Encoding") is not None:
--- a/src/hibiscushaven/platform/tests/test_faulty_backends.py
+++ b/src/hibiscushaven/platform/tests/test_faulty_backends.py
@@ -90,6 +90,20 @@
     assert results[-1].kind is FailureKind.UNNAMED_REFUSAL
 
 
+@pytest.mark.parametrize("status", [200, 302, 404, 500, 504])
+def test_refusal_with_a_status_that_servers_do_not_refuse_with_is_no_proof(status):
+    """Guards against a contradictory response that makes a request run twice."""
+    results, _ = attempt_all([response(status=status, Not_Executed="1")], method="POST")
+    assert results[0].outcome is Outcome.UNKNOWN
+
+
+@pytest.mark.parametrize("status", [400, 429, 503])
+def test_refusal_that_names_its_request_is_believed(status):
+    """Guards against requests that fail although another server could run them."""
+    results, _ = attempt_all([response(status=status, Not_Executed="1")], method="POST")
+    assert results[0].outcome is Outcome.NOT_RUN and results[0].names_request
+
+
 HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: id-0\r\nResponse-Seal: 1.2\r\nContent-Length: 12\r\n\r\n"
 
 
