Take no response that names no request for that to the next one

A response with status 300 or higher was passed on also without the id of its request, so that a stray one on a kept connection was given to the caller of the next request. Only successes had to name theirs.

On the sources before, the eight cases of the new test fail.

--- a/src/hibiscushaven/platform/dialects.py
+++ b/src/hibiscushaven/platform/dialects.py
@@ -98,9 +98,10 @@
             raise _refusal(head, request, echoed_id is not None)
         if find_header(head.headers, "Content-Encoding") is not None:
             raise AttemptError(FailureKind.MALFORMED, f"{request.server} sent an encoded body")
-        if head.status < 300 and (
-            echoed_id is None or find_header(head.headers, "Response-Seal") is None
-        ):
+        if echoed_id is None and (request.attempt_id or head.status < 300):
+            detail = f"{request.server} sent a response that names no request"
+            raise AttemptError(FailureKind.MALFORMED, detail, status=head.status)
+        if head.status < 300 and find_header(head.headers, "Response-Seal") is None:
             raise AttemptError(
                 FailureKind.MALFORMED, f"{request.server} sent an answer without its seal"
             )
--- a/src/hibiscushaven/platform/tests/test_faulty_backends.py
+++ b/src/hibiscushaven/platform/tests/test_faulty_backends.py
@@ -104,6 +104,21 @@
     assert results[0].outcome is Outcome.NOT_RUN and results[0].names_request
 
 
+@pytest.mark.parametrize("status", [302, 404, 500, 504])
+@pytest.mark.parametrize("is_connection_new", [True, False])
+def test_response_that_names_no_request_is_not_that_of_the_next_one(status, is_connection_new):
+    """Guards against a stray response that a caller gets for another request."""
+    stray = f"HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n".encode()
+
+    async def respond_twice(head, writer):
+        writer.write(stray)
+        await response()(head, writer)
+
+    scripts = [respond_twice] if is_connection_new else [response(b"first"), respond_twice]
+    results, _ = attempt_all(scripts, count=len(scripts), method="POST", body=b"order")
+    assert results[-1].kind is FailureKind.MALFORMED
+
+
 HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: id-0\r\nResponse-Seal: 1.2\r\nContent-Length: 12\r\n\r\n"
 
 
