Close the connections to an address whose server has been replaced

A request that was refused with 421 may be sent to the server that has the address now, with the same id and on the same connection. A repetition of the 421 names that id, so that it was taken for the refusal of the second attempt, which the server runs: with the attempts used up the caller is told that the request has not run.

No connection to the address is used again after a 421. On the sources before, the new test fails with a second refusal.

--- a/src/hibiscushaven/delivery/attempts.py
+++ b/src/hibiscushaven/delivery/attempts.py
@@ -19,7 +19,7 @@
 
 # Failure kinds, with ``None`` for success, after which the connection of an attempt can be reused.
 # A refusal that was read completely leaves the connection ready for the next request.
-_REUSABLE_AFTER = frozenset({None, FailureKind.REFUSED, FailureKind.MISDIRECTED})
+_REUSABLE_AFTER = frozenset({None, FailureKind.REFUSED})
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hibiscushaven/delivery/client.py
+++ b/src/hibiscushaven/delivery/client.py
@@ -35,6 +35,12 @@
 # the server.
 MAX_TIMER_LAG_S = 0.5
 _NOT_FOUND = 404
+
+# Failure kinds after which no connection to the server's address is used again. After
+# ``MISDIRECTED`` another server has the address, and the same request may be sent to it.
+_RETIRED_AFTER = frozenset(
+    {FailureKind.SILENT, FailureKind.WRONG_ATTEMPT_ID, FailureKind.MISDIRECTED}
+)
 # Set by the client itself; values supplied by a caller could contradict them.
 _CLIENT_HEADERS = frozenset({"content-length", "expect"})
 
@@ -233,9 +239,9 @@
 
     async def _on_response_end(self, pool: ConnectionPool, kind: FailureKind | None) -> None:
         """Release the connection of a response that ended."""
-        # The connection of a complete response returns to the pool before the attempt id is
-        # checked, so the whole pool is retired after a wrong id to close that connection.
-        if kind in (FailureKind.SILENT, FailureKind.WRONG_ATTEMPT_ID):
+        # The connection of a complete response returns to the pool before the response is
+        # checked, so the whole pool is retired to close that connection.
+        if kind in _RETIRED_AFTER:
             self._retire_pool(pool)
         await pool.release()
 
--- a/src/hibiscushaven/platform/tests/test_faulty_backends.py
+++ b/src/hibiscushaven/platform/tests/test_faulty_backends.py
@@ -4,9 +4,11 @@
 
 import pytest
 
-from hibiscushaven.delivery import AttemptError, FailureKind, Outcome
+from hibiscushaven.delivery import AttemptError, AttemptRequest, BackendClient, FailureKind, Outcome
+from hibiscushaven.ini.fields import Endpoint
+from hibiscushaven.platform.dialects import PlatformBackends
 
-from .backend_standin import close_connection, header, response
+from .backend_standin import BackendStandIn, close_connection, header, response
 from .test_backends import attempt_all
 
 REFUSALS = {
@@ -90,6 +92,35 @@
     assert results[-1].kind is FailureKind.UNNAMED_REFUSAL
 
 
+def test_repeated_misdirection_is_no_proof_about_the_next_attempt_of_the_same_request():
+    """Guards against two attempts at one address, whose server has been replaced, with one id."""
+    runs = []
+
+    async def misdirect(head, writer):
+        writer.write(REFUSALS["misdirected"].format(id="Request-Id: id\r\n").encode())
+
+    async def misdirect_again_and_run(head, writer):
+        runs.append(header(head, "Request-Id"))
+        if stand_in.connections == 1:
+            await misdirect(head, writer)
+        await response()(head, writer)
+
+    async def main():
+        port = await stand_in.start()
+        client = BackendClient(dialect=PlatformBackends())
+        deadline = asyncio.get_running_loop().time() + 30
+        request = AttemptRequest(Endpoint("127.0.0.1", port), "POST", "/", "id", deadline)
+        with pytest.raises(AttemptError, match="misdirected"):
+            await client.attempt(request)
+        head = await client.attempt(request)
+        assert await head.read(100) == b"whole" and runs == ["id"]
+        await client.close()
+        await stand_in.close()
+
+    stand_in = BackendStandIn(misdirect, misdirect_again_and_run)
+    asyncio.run(main())
+
+
 @pytest.mark.parametrize("status", [200, 302, 404, 500, 504])
 def test_refusal_with_a_status_that_servers_do_not_refuse_with_is_no_proof(status):
     """Guards against a contradictory response that makes a request run twice."""
