Show the logs of the processes of a failed test

The tests of processes kept no log, so that a failure could not be traced. Each process writes to a file of its own, at the level of info, and the report of a failed test has the end of all.

--- a/tests/processes/deployment.py
+++ b/tests/processes/deployment.py
@@ -15,6 +15,9 @@
 
 TEST_TIMEOUT_S = 120  # ends a test that hangs
 
+# Limit on the log of one process in the report of a failed test, in bytes.
+MAX_SHOWN_LOG_BYTES = 64 * 1024
+
 DOCUMENT = """
 [service]
 name = stock
@@ -42,6 +45,31 @@
 """
 
 
+class ProcessLogs:
+    """Files with the output of processes, to be shown if a test fails."""
+
+    def __init__(self, directory: Path):
+        self._directory = directory
+
+    def path(self, name):
+        return self._directory / f"{name}.log"
+
+    async def start(self, name, *arguments):
+        """Start the program with arguments, and return its process."""
+        command = (sys.executable, "-m", "hibiscushaven", *map(str, arguments))
+        with self.path(name).open("ab") as log:
+            return await asyncio.create_subprocess_exec(
+                *command, stdout=log, stderr=asyncio.subprocess.STDOUT
+            )
+
+    def show(self):
+        """Write all logs to standard output, where the report of a failed test has them."""
+        for path in sorted(self._directory.glob("*.log")):
+            log = path.read_bytes()
+            print(f"--- {path.name}, {len(log)} bytes")
+            print(log[-MAX_SHOWN_LOG_BYTES:].decode(errors="replace"))
+
+
 def free_port():
     with socket.socket() as item:
         item.bind(("127.0.0.1", 0))
@@ -54,6 +82,7 @@
     def __init__(self, directory: Path, entry_vms: int = 2, servers: int = 2):
         self._directory = directory
         self._processes: dict[str, asyncio.subprocess.Process] = {}
+        self.logs = ProcessLogs(directory)
         second_octet = 100 + free_port() % 100
         self._hosts = [f"127.{second_octet}.{domain}" for domain in (1, 2)]
         self._entry_vms = entry_vms
@@ -108,8 +137,7 @@
         await self.start(vm, "entry", "--settings", self.path, "--vm", vm)
 
     async def start(self, name, *arguments):
-        command = (sys.executable, "-m", "hibiscushaven", *map(str, arguments))
-        self._processes[name] = await asyncio.create_subprocess_exec(*command)
+        self._processes[name] = await self.logs.start(name, *arguments)
 
     async def run(self, *arguments, token="demo-stock-team"):
         """Run a command to its end and return its exit code and output."""
@@ -160,7 +188,7 @@
             "[deployment]\nname = test\nplatform_region = north\n"
             f"http_port = {self._http_port}\npeer_port = {self._peer_port}\n"
             f"[platform]\nurl = http://127.0.0.1:{self._platform_port}\n"
-            "[log]\nlevel = error\nformat = text\n"
+            "[log]\nlevel = info\nformat = text\n"
             f"{domains}[service stock]\ndocument = stock.ini\n"
             "[team stock-team]\ntoken = demo-stock-team\n"
         )
@@ -173,6 +201,9 @@
         try:
             await deployment.start_all()
             await scenario(deployment)
+        except BaseException:
+            deployment.logs.show()
+            raise
         finally:
             await deployment.stop()
 
--- a/tests/processes/gateways.py
+++ b/tests/processes/gateways.py
@@ -4,7 +4,6 @@
 import contextlib
 import random
 import signal
-import sys
 
 import aiohttp
 
@@ -12,6 +11,8 @@
 from hibiscushaven.platform.tests.samples import configuration_row, route_item, server_row
 from hibiscushaven.platform.tests.store_standin import StoreStandIn
 
+from .deployment import ProcessLogs
+
 CRASHING_PATH = "/x/crash"
 
 SETTINGS = """
@@ -88,6 +89,7 @@
 
     def __init__(self, directory, vms, servers):
         self._directory = directory
+        self._logs = ProcessLogs(directory)
         self._network = f"127.{random.randint(100, 250)}.{random.randint(1, 250)}"
         self._vms = vms
         self._server_count = servers
@@ -114,15 +116,14 @@
             path = self._directory / f"vm-{number}.ini"
             host = self._host(number)
             path.write_text(SETTINGS.format(name=f"vm-{number}", host=host, store_port=store_port))
-            command = (sys.executable, "-m", "hibiscushaven", "gateway", "--settings", str(path))
-            process = await asyncio.create_subprocess_exec(
-                *command, stdout=asyncio.subprocess.DEVNULL
-            )
-            self._processes.append(process)
+            arguments = ("gateway", "--settings", path)
+            self._processes.append(await self._logs.start(f"vm-{number}", *arguments))
         self._session = aiohttp.ClientSession()
         return self
 
-    async def __aexit__(self, *error):
+    async def __aexit__(self, error_type, error, traceback):
+        if error is not None:
+            self._logs.show()
         await self._session.close()
         for process in self._processes:
             process.send_signal(signal.SIGKILL)
