Send a suspect only to a server that responds to a health check

A request was refused for ten minutes ("quarantined", Retry-After 60 s) although two backend servers had been killed together: the third failure of test_killed_backend_servers_lose_no_idempotent_request.

Before a suspect is sent, its server must respond to GET /-/health; one that does not counts as not reached. It costs a round trip for requests that were in progress at a crash. On the sources before, the test of one event that ends two servers fails (sent to both, and quarantined); a request that crashes servers which respond is quarantined as before.

--- a/src/hibiscushaven/dispatch/actions.py
+++ b/src/hibiscushaven/dispatch/actions.py
@@ -56,6 +56,9 @@
     :ivar is_hedge: whether another attempt of the same work item is still in progress.
     :ivar use_new_connection: whether a pooled connection must not be used; set on retries and
         for suspects, because the pooled connection may be dead, and its loss is then no crash.
+    :ivar is_suspect: whether a server crashed with the request in progress. It may be sent only to
+        a server that has responded since: one that the same event ends may still accept
+        connections, and their loss would count as another crash.
     """
 
     attempt_id: str
@@ -64,6 +67,7 @@
     token: Token
     is_hedge: bool
     use_new_connection: bool
+    is_suspect: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hibiscushaven/dispatch/attempts.py
+++ b/src/hibiscushaven/dispatch/attempts.py
@@ -71,7 +71,7 @@
         )
         use_new_connection = is_suspect or (item.is_retry and not is_hedge)
         action = StartAttempt(
-            attempt_id, item.work.id, state.name, token, is_hedge, use_new_connection
+            attempt_id, item.work.id, state.name, token, is_hedge, use_new_connection, is_suspect
         )
         self._attempts[attempt_id] = attempt
         self._copies_in_progress[item.work.fingerprint] += 1
--- a/src/hibiscushaven/entry/shard_runner.py
+++ b/src/hibiscushaven/entry/shard_runner.py
@@ -42,6 +42,7 @@
 _MIN_HEAD_TIMEOUT_S = 0.5
 _HEAD_TIMEOUT_FACTOR = 8.0
 _HEAD_TIME_CONSTANT_S = 60.0
+_HEALTH_PATH = "/-/health"
 
 
 @dataclass(slots=True)
@@ -266,6 +267,9 @@
     async def _run_attempt(self, attempt: _Attempt) -> None:
         started_at = self._clock.now()
         try:
+            if attempt.start.is_suspect:
+                await self._check_server(attempt)
+                started_at = self._clock.now()
             attempt.response = await self._client.attempt(self._attempt_request(attempt))
             self._record_head_time(attempt, self._clock.now() - started_at)
             await self._read_response(attempt, attempt.response)
@@ -285,6 +289,16 @@
             # Stopping the attempt awaits I/O, so another task does it and this one ends.
             self._spawn(self._stop_attempt(attempt))
 
+    async def _check_server(self, attempt: _Attempt) -> None:
+        """Check that the server of a suspect runs.
+
+        :raises AttemptError: when it does not respond.
+        """
+        address, tenant = attempt.server.address, attempt.job.work.tenant
+        if await self._client.call_control(address, "GET", _HEALTH_PATH, tenant) is None:
+            detail = f"{address} did not respond to a health check before a suspect"
+            raise AttemptError(FailureKind.NOT_CONNECTED, detail)
+
     async def _read_response(self, attempt: _Attempt, response: AttemptResponse) -> None:
         length = response.content_length
         is_small = length is not None and length <= MAX_BUFFERED_BYTES
