Check in random runs that VMs without links tell the truth about unsafe requests

The runs of VMs that have lost their links to the servers did not look at whether a relayed request that was refused as not run had run, or ran twice. Each request has an id of its own there now, and runs are counted by it.

--- a/src/hibiscushaven/gateway/tests/simulated_backends.py
+++ b/src/hibiscushaven/gateway/tests/simulated_backends.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import random
+from collections import Counter
 from dataclasses import dataclass, replace
 from enum import StrEnum
 
 from hibiscushaven.delivery import AttemptError, FailureKind, find_header
 from hibiscushaven.forwarding import RelayDialect, RelayedCallers, RetryBudgetOptions
+from hibiscushaven.forwarding.refusals import NOT_RUN_STATUSES
 from hibiscushaven.forwarding.tests.support import Head, make_request
 from hibiscushaven.gateway.daemon import make_forwarder
 from hibiscushaven.ini.fields import Endpoint
@@ -82,6 +84,7 @@
     :ivar pauses_s: seconds for which servers want nothing, with which they reject all requests.
     :ivar notices: time, VM and server of each response in which a server said so.
     :ivar unwanted_arrivals: time, VM and server of each request to such a server.
+    :ivar runs: number of times that a server began to run each request, by its id.
     :ivar cuts: VMs that have lost their links to all servers, with what their connections do.
     """
 
@@ -100,6 +103,7 @@
         self.pauses_s = {}
         self.notices = []
         self.unwanted_arrivals = []
+        self.runs = Counter()
         self.cuts = {}
         self._connected = set()
         records = [
@@ -136,6 +140,7 @@
             self.unwanted_arrivals.append((self._now(), vm, name))
         if name in self.pauses_s:
             self._ask_for_pause(vm, name)
+        self.runs[request.attempt_id] += 1
         end = self._in_progress.setdefault(name, asyncio.get_running_loop().create_future())
         is_crashing = request.target == CRASHING_PATH
         if is_crashing:
@@ -238,6 +243,7 @@
     """
 
     vm: str
+    request_id: str
     path: str
     arrived_at: float
     status: int
@@ -282,7 +288,8 @@
 
     def read(self, headers, method, path, target, body, now):
         request = make_request(LoopClock(), path)
-        return replace(request, object_key=path.rpartition("/")[2])
+        request_id = find_header(headers, self.id_header)
+        return replace(request, request_id=request_id, object_key=path.rpartition("/")[2])
 
 
 class SimulatedTraffic:
@@ -295,6 +302,8 @@
         self._region = region
         self._rng = random.Random(seed)
         self._tasks = set()
+        self._kind = kind
+        self._request_count = 0
         self.responses = []
         routes = tuple(
             Route(name, "a.example", prefix, kind, (WeightedService("stock", 1),), 2.0, 1.0, 2)
@@ -350,6 +359,17 @@
             item._crashes.is_quarantined(now, fingerprint) for item in self._forwarders.values()
         )
 
+    def untrue_responses(self):
+        """Return the ids of unsafe requests that ran twice, or although refused as not run."""
+        if self._kind is not RequestKind.UNSAFE:
+            return []
+        runs = self.backends.runs
+        return [
+            item.request_id
+            for item in self.responses
+            if runs[item.request_id] > (item.status not in NOT_RUN_STATUSES)
+        ]
+
     def quarantined_objects(self):
         """Return the paths of the requests beside the crashing one that any VM refuses."""
         return [path for path in map(_object_path, range(OBJECTS)) if self.is_quarantined(path)]
@@ -378,10 +398,19 @@
             await asyncio.wait(self._tasks)
 
     async def _request(self, vm, path, key):
-        request = replace(make_request(LoopClock(), path), object_key=key)
+        self._request_count += 1
+        request_id = f"id-{self._request_count}"
+        request = replace(
+            make_request(LoopClock(), path),
+            request_id=request_id,
+            object_key=key,
+            headers=((_CallerDialect.id_header, request_id),),
+        )
         response = await self._forwarders[vm].handle(request)
         if path != CRASHING_PATH:
-            self.responses.append(SimulatedResponse(vm, path, request.received_at, response.status))
+            self.responses.append(
+                SimulatedResponse(vm, request_id, path, request.received_at, response.status)
+            )
 
 
 def _object_path(number):
--- a/src/hibiscushaven/gateway/tests/test_lost_links.py
+++ b/src/hibiscushaven/gateway/tests/test_lost_links.py
@@ -7,6 +7,7 @@
 import pytest
 
 from hibiscushaven.fleet import LinkStatement
+from hibiscushaven.routing import RequestKind
 
 from .simulated_backends import Cut, SimulatedBackends, SimulatedTraffic
 from .simulated_region import LoopClock, SimulatedRegion
@@ -61,19 +62,23 @@
         return served / total if total else 1.0
 
 
-def play(kind, seed=1):
-    """Let every second VM lose its links; return the results of the requests that count."""
+def play(cut, seed=1, kind=RequestKind.SAFE, crashing_interval_s=float("inf")):
+    """Let every second VM lose its links.
+
+    :returns: results of the requests that count, and ids of untrue responses.
+    """
 
     async def scenario(region):
         backends = SimulatedBackends(region, SERVERS)
-        traffic = SimulatedTraffic(region, backends, seed=seed)
+        traffic = SimulatedTraffic(region, backends, kind, seed)
         await asyncio.sleep(ADOPTION_S)
         await traffic.run(STABLE_S, arrivals_per_s=ARRIVALS_PER_S)
         for name in list(region.nodes)[::2]:
-            backends.cut(name, kind)
+            backends.cut(name, cut)
         counted_from = LoopClock().now() + STABLE_S
-        await traffic.run(STABLE_S + DURATION_S, arrivals_per_s=ARRIVALS_PER_S)
-        return Results.of(traffic.responses, backends.cuts, counted_from)
+        await traffic.run(STABLE_S + DURATION_S, crashing_interval_s, ARRIVALS_PER_S)
+        results = Results.of(traffic.responses, backends.cuts, counted_from)
+        return results, traffic.untrue_responses()
 
     return SimulatedRegion.run(SIZES, scenario)
 
@@ -81,12 +86,19 @@
 @pytest.mark.parametrize("kind", list(Cut))
 def test_vms_without_links_to_the_servers_serve_their_callers(kind):
     """Guards against VMs without links that refuse requests which other VMs could serve."""
-    results = play(kind)
+    results, _ = play(kind)
     assert results.served_fraction(True) >= MIN_SERVED_RATIO * results.served_fraction(False)
     assert results.failed(True) <= MAX_FAILED + MAX_FAILED_FRACTION * results.count
     assert results.served_fraction(False) >= 0.9
 
 
+@pytest.mark.parametrize("cut", Cut)
+def test_vms_without_links_tell_the_truth_about_unsafe_requests(cut):
+    """Guards against requests that run twice, or run and are refused as not run, when relayed."""
+    _, untrue = play(cut, 2, RequestKind.UNSAFE, crashing_interval_s=0.5)
+    assert untrue == []
+
+
 def test_vms_know_each_others_lost_links_until_they_are_back():
     """Guards against VMs that are left out for good, and against duties given to isolated ones."""
 
