--- a/tests/processes/gateways.py
+++ b/tests/processes/gateways.py
@@ -84,18 +84,26 @@
 class Gateways:
     """Processes of one region, on loopback addresses of their own.
 
+    :param make_server: makes a server from its name, its host and the store; by default one that a
+        request can crash.
+    :param route: fields of the route that differ from the usual ones.
+    :ivar servers: the backend servers.
     :ivar crashes: number of servers that the crashing request has ended.
     """
 
-    def __init__(self, directory, vms, servers):
+    def __init__(self, directory, vms, servers, make_server=None, route=None):
         self._directory = directory
         self._logs = ProcessLogs(directory)
         self._network = f"127.{random.randint(100, 250)}.{random.randint(1, 250)}"
         self._vms = vms
         self._server_count = servers
         self._store = StoreStandIn()
-        self._processes = []
-        self._servers = []
+        self._make_server = make_server or (
+            lambda *arguments: CrashableServer(*arguments, self._count_crash)
+        )
+        self._route = {"Timeout": "5000ms", "MaxAttempts": 3, **(route or {})}
+        self._processes = {}
+        self.servers = []
         self._numbers = iter(range(10**6))
         self.crashes = 0
 
@@ -104,20 +112,15 @@
         return range(self._vms)
 
     async def __aenter__(self):
-        store_port = await self._store.start()
-        route = route_item(Timeout="5000ms", MaxAttempts=3)
-        self._store.put("op", "config", configuration_row(7, [route]))
+        self._store_port = await self._store.start()
+        self._store.put("op", "config", configuration_row(7, [route_item(**self._route)]))
         for number in range(self._server_count):
             host = f"{self._network}.{200 + number}"
-            server = CrashableServer(f"i-{number}", host, self._store, self._count_crash)
+            server = self._make_server(f"i-{number}", host, self._store)
             await server.start()
-            self._servers.append(server)
+            self.servers.append(server)
         for number in self.vms:
-            path = self._directory / f"vm-{number}.ini"
-            host = self._host(number)
-            path.write_text(SETTINGS.format(name=f"vm-{number}", host=host, store_port=store_port))
-            arguments = ("gateway", "--settings", path)
-            self._processes.append(await self._logs.start(f"vm-{number}", *arguments))
+            await self._start_vm(number)
         self._session = aiohttp.ClientSession()
         return self
 
@@ -125,14 +128,28 @@
         if error is not None:
             self._logs.show()
         await self._session.close()
-        for process in self._processes:
+        for process in self._processes.values():
             process.send_signal(signal.SIGKILL)
-        for process in self._processes:
+        for process in self._processes.values():
             await process.wait()
-        for server in self._servers:
+        for server in self.servers:
             server.close()
         await self._store.close()
 
+    def signal(self, vm, number):
+        """Send a signal to the process of a VM."""
+        self._processes[vm].send_signal(number)
+
+    async def restart(self, vm, number):
+        """End the process of a VM by a signal, and start it again."""
+        self.signal(vm, number)
+        await self._processes[vm].wait()
+        await self._start_vm(vm)
+
+    def url(self, vm):
+        """Return the URL at which a VM serves callers."""
+        return f"http://{self._host(vm)}:8001"
+
     async def request(self, vm, path):
         """Send a request to a VM; return the status of its response."""
         headers = {
@@ -140,8 +157,7 @@
             "Request-Id": f"id-{next(self._numbers)}",
             "Deadline-Ms": "5000",
         }
-        url = f"http://{self._host(vm)}:8001{path}"
-        async with self._session.get(url, headers=headers) as reply:
+        async with self._session.get(f"{self.url(vm)}{path}", headers=headers) as reply:
             await reply.read()
             return reply.status
 
@@ -157,6 +173,12 @@
         except aiohttp.ClientError:
             return False
 
+    async def _start_vm(self, vm):
+        path = self._directory / f"vm-{vm}.ini"
+        name, host = f"vm-{vm}", self._host(vm)
+        path.write_text(SETTINGS.format(name=name, host=host, store_port=self._store_port))
+        self._processes[vm] = await self._logs.start(name, "gateway", "--settings", path)
+
     def _count_crash(self):
         self.crashes += 1
 
