--- a/src/hibiscushaven/gateway/tests/simulated_backends.py
+++ b/src/hibiscushaven/gateway/tests/simulated_backends.py
@@ -359,7 +359,7 @@
             item._crashes.is_quarantined(now, fingerprint) for item in self._forwarders.values()
         )
 
-    def untrue_responses(self):
+    def misreported_requests(self):
         """Return the ids of unsafe requests that ran twice, or although refused as not run."""
         if self._kind is not RequestKind.UNSAFE:
             return []
--- a/src/hibiscushaven/gateway/tests/soak.py
+++ b/src/hibiscushaven/gateway/tests/soak.py
@@ -101,18 +101,18 @@
         counted_from = LoopClock().now() + STABLE_S
         await traffic.run(DURATION_S, interval_s, rate)
         results = Results.of(traffic.responses, backends.cuts, counted_from)
-        return backends, results, traffic.quarantined_objects(), traffic.untrue_responses()
+        return backends, results, traffic.quarantined_objects(), traffic.misreported_requests()
 
-    backends, results, refused, untrue = run(rng, seed, kind, scenario, loss_rate)
+    backends, results, refused, misreported = run(rng, seed, kind, scenario, loss_rate)
     late = late_arrivals(backends) if len(backends.crashes) >= 3 else 0
     served, others = results.served_fraction(True), results.served_fraction(False)
     text = (
         f"{kind.value}, {rate:g} a second, loss {loss_rate}, {share:.0%} cut: served {served:.3f}, "
     )
     text += f"others {others:.3f}, {len(backends.crashes)} crashes, {late} late arrivals, "
-    text += f"objects refused in the end: {refused}, {len(untrue)} untrue responses"
+    text += f"objects refused in the end: {refused}, {len(misreported)} misreported requests"
     is_served = results.keeps_rule()
-    return text, not is_served or late > MAX_LATE_ARRIVALS or bool(untrue)
+    return text, not is_served or late > MAX_LATE_ARRIVALS or bool(misreported)
 
 
 def interrupt(rng, seed):
--- a/src/hibiscushaven/gateway/tests/test_lost_links.py
+++ b/src/hibiscushaven/gateway/tests/test_lost_links.py
@@ -65,7 +65,7 @@
 def play(cut, seed=1, kind=RequestKind.SAFE, crashing_interval_s=float("inf")):
     """Let every second VM lose its links.
 
-    :returns: results of the requests that count, and ids of untrue responses.
+    :returns: results of the requests that count, and ids of misreported requests.
     """
 
     async def scenario(region):
@@ -78,7 +78,7 @@
         counted_from = LoopClock().now() + STABLE_S
         await traffic.run(STABLE_S + DURATION_S, crashing_interval_s, ARRIVALS_PER_S)
         results = Results.of(traffic.responses, backends.cuts, counted_from)
-        return results, traffic.untrue_responses()
+        return results, traffic.misreported_requests()
 
     return SimulatedRegion.run(SIZES, scenario)
 
@@ -93,10 +93,10 @@
 
 
 @pytest.mark.parametrize("cut", Cut)
-def test_vms_without_links_tell_the_truth_about_unsafe_requests(cut):
+def test_vms_without_links_misreport_no_unsafe_request(cut):
     """Guards against requests that run twice, or run and are refused as not run, when relayed."""
-    _, untrue = play(cut, 2, RequestKind.UNSAFE, crashing_interval_s=0.5)
-    assert untrue == []
+    _, misreported = play(cut, 2, RequestKind.UNSAFE, crashing_interval_s=0.5)
+    assert misreported == []
 
 
 def test_vms_know_each_others_lost_links_until_they_are_back():
--- a/tests/processes/faulty_servers.py
+++ b/tests/processes/faulty_servers.py
@@ -1,4 +1,4 @@
-"""Backend servers that refuse requests and spoil responses at random, and count what they run."""
+"""Backend servers that refuse requests and corrupt responses at random, and count their runs."""
 
 import asyncio
 import contextlib
@@ -98,7 +98,7 @@
 class FaultyServer:
     """Backend server with faults, which may be replaced by another one at its address.
 
-    :param fault_rate: fraction of the responses that it spoils while it is faulty.
+    :param fault_rate: fraction of the responses that it corrupts while it is faulty.
     :ivar runs: how often each request ran, by its id.
     """
 
@@ -163,5 +163,5 @@
             await asyncio.sleep(self._rng.choice(RUN_S))
         finally:
             self._in_progress -= 1
-        is_spoiled = self.mode is Mode.FAULTY and self._rng.random() < self._fault_rate
-        (self._rng.choice(_FAULTS) if is_spoiled else Exchange.respond)(exchange)
+        is_corrupted = self.mode is Mode.FAULTY and self._rng.random() < self._fault_rate
+        (self._rng.choice(_FAULTS) if is_corrupted else Exchange.respond)(exchange)
--- a/tests/processes/random_faults.py
+++ b/tests/processes/random_faults.py
@@ -98,7 +98,7 @@
 
 
 async def play(seed, vms, duration_s):
-    """Return the statuses of all responses, and the requests that were answered untruly."""
+    """Return the statuses of all responses, and the requests that were misreported."""
     rng = random.Random(seed)
     directory = Path(tempfile.mkdtemp(prefix=f"random-faults-{seed}-"))
 
