Use no response that names another request for a request without an id

A response was compared with the id of the request only if the request has one. A refusal that names another request was therefore believed for a caller that sends no id, and counted as one that names its request; a failure was passed on to it.

An id that differs, or none on the side of the request, is a wrong id now, and an empty one counts as none. All five cases of the new test fail on the sources before. The 501 tests of platform, forwarding and delivery pass.

--- a/src/hibiscushaven/platform/dialects.py
+++ b/src/hibiscushaven/platform/dialects.py
@@ -86,9 +86,9 @@
         return tuple(headers)
 
     def check_response(self, head: AttemptResponse, request: AttemptRequest) -> None:
-        echoed_id = find_header(head.headers, "Request-Id")
+        echoed_id = find_header(head.headers, "Request-Id") or None
         is_refused = find_header(head.headers, "Not-Executed") is not None
-        if request.attempt_id and echoed_id is not None and echoed_id != request.attempt_id:
+        if echoed_id is not None and echoed_id != request.attempt_id:
             detail = f"{request.server} answered {echoed_id!r} to {request.attempt_id!r}"
             raise AttemptError(FailureKind.WRONG_ATTEMPT_ID, detail)
         if is_refused and head.status not in _REFUSAL_STATUSES:
--- a/src/hibiscushaven/platform/tests/test_backends.py
+++ b/src/hibiscushaven/platform/tests/test_backends.py
@@ -40,7 +40,7 @@
                 Endpoint("127.0.0.1", port),
                 fields.get("method", "GET"),
                 fields.get("target", "/a/b?c=%2f"),
-                f"id-{number}",
+                fields.get("request_id", f"id-{number}"),
                 asyncio.get_running_loop().time() + timeout_s,
                 fields.get("headers", ()),
                 fields.get("body", b""),
--- a/src/hibiscushaven/platform/tests/test_faulty_backends.py
+++ b/src/hibiscushaven/platform/tests/test_faulty_backends.py
@@ -135,6 +135,22 @@
     assert results[0].outcome is Outcome.NOT_RUN and results[0].names_request
 
 
+@pytest.mark.parametrize(
+    ("status", "named_id"), [(421, "id-9"), (500, "id-9"), (503, "id-9"), (421, ""), (503, "")]
+)
+def test_response_is_not_used_for_a_request_without_an_id(status, named_id):
+    """Guards against a caller without an id that gets the refusal or failure of another request."""
+    fields = {"Not_Executed": "1"} if status == 503 else {}
+    stray = f"HTTP/1.1 {status} X\r\nRequest-Id: {named_id}\r\nContent-Length: 0\r\n"
+    stray += "".join(f"{name.replace('_', '-')}: {value}\r\n" for name, value in fields.items())
+
+    async def refuse(head, writer):
+        writer.write(f"{stray}\r\n".encode())
+
+    results, _ = attempt_all([refuse], method="POST", body=b"order", request_id="")
+    assert results[0].outcome is Outcome.UNKNOWN
+
+
 @pytest.mark.parametrize("status", [302, 404, 500, 504])
 @pytest.mark.parametrize("is_connection_new", [True, False])
 def test_response_that_names_no_request_is_not_that_of_the_next_one(status, is_connection_new):
