Take no connection that is reset at once for a running server

When a request loses connections to two backend servers, a gateway checks at once whether they run. A process that is being killed still accepts connections for up to 0.5 ms after the first of its connections broke (trial with two listening sockets), so that its crash was dismissed, and the request that had caused it was sent to further servers before it was refused.

The probe now keeps its connection for 50 ms. If the server ends it, another one decides: the listening socket of a process that ends is closed by then, while a server that resets connections since it has too many still accepts. A health check would tell more, but waits for a slot of a busy server, or is rejected by it, and would so take load for a crash.

Before, the new test fails for the process that ends (1 of 2 cases); both pass now.

--- a/src/hibiscushaven/delivery/client.py
+++ b/src/hibiscushaven/delivery/client.py
@@ -36,6 +36,10 @@
 MAX_TIMER_LAG_S = 0.5
 _NOT_FOUND = 404
 
+# Time for which a probe keeps its connection. A process that ends closes its listening socket
+# within some milliseconds.
+PROBE_DURATION_S = 0.05
+
 # Failure kinds after which no connection to the server's address is used again. After
 # ``MISDIRECTED`` another server has the address, and the same request may be sent to it.
 _RETIRED_AFTER = frozenset(
@@ -62,9 +66,6 @@
     control_s: float = 1.0
 
 
-_NOT_FOUND = 404
-
-
 class BackendClient:
     """Sends attempts to backend servers over one connection pool per tenant and server.
 
@@ -166,7 +167,14 @@
             return None
 
     async def can_connect(self, server: Endpoint) -> bool:
-        """Return whether a connection to the server can be opened; it is closed at once.
+        """Return whether the server runs, as far as a connection without a request shows it.
+
+        Explanation
+        ===========
+
+        A process that ends still accepts connections until its listening socket is closed, and
+        resets them then. A server may also reset them since it has too many. So after a connection
+        that is ended at once, another one decides.
 
         A probe in which this process was paused is repeated.
         """
@@ -174,7 +182,8 @@
         deadline = loop.time() + self._timeouts.control_s
         try:
             async with asyncio.timeout_at(deadline):
-                _, writer = await asyncio.open_connection(server.host, server.port)
+                if await _is_ended_at_once(server):
+                    await _is_ended_at_once(server)
         except (TimeoutError, OSError) as error:
             if loop.time() - deadline > MAX_TIMER_LAG_S:
                 return await self.can_connect(server)
@@ -183,7 +192,6 @@
                 extra={"server": str(server), "why": repr(error)},
             )
             return False
-        writer.transport.abort()
         return True
 
     def retire_connections(self, server: Endpoint) -> None:
@@ -319,6 +327,23 @@
     return await handler(request)
 
 
+async def _is_ended_at_once(server: Endpoint) -> bool:
+    """Open a connection; return whether the server ends it within ``PROBE_DURATION_S``.
+
+    :raises OSError: when it cannot be opened.
+    """
+    reader, writer = await asyncio.open_connection(server.host, server.port)
+    try:
+        async with asyncio.timeout(PROBE_DURATION_S):
+            return not await reader.read(1)
+    except TimeoutError:
+        return False
+    except ConnectionError:
+        return True
+    finally:
+        writer.transport.abort()
+
+
 def _check_request(request: AttemptRequest) -> None:
     """Reject a request that the server could parse differently, such as by header injection."""
     if not (_METHOD.fullmatch(request.method) and _TARGET.fullmatch(request.target)):
--- a/src/hibiscushaven/delivery/tests/test_client.py
+++ b/src/hibiscushaven/delivery/tests/test_client.py
@@ -5,7 +5,13 @@
 
 import pytest
 
-from hibiscushaven.delivery import AttemptError, FailureKind, Outcome, find_header
+from hibiscushaven.delivery import (
+    AttemptError,
+    BackendClient,
+    FailureKind,
+    Outcome,
+    find_header,
+)
 from hibiscushaven.ini.fields import Endpoint
 from hibiscushaven.standins import BackendConfig, Direction, Forwarder
 
@@ -91,6 +97,25 @@
         assert env.backend.counters.started == 2
 
 
+@pytest.mark.parametrize("is_ending", [True, False])
+@in_loop
+async def test_probe_tells_an_ending_process_from_a_server_with_too_many_connections(
+    is_ending: bool,
+) -> None:
+    """Guards against a crash that is dismissed since the dying process accepted a connection."""
+
+    def reset(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if is_ending:
+            server.close()
+        writer.transport.abort()
+
+    server = await asyncio.start_server(reset, HOST, 0)
+    address = Endpoint(HOST, server.sockets[0].getsockname()[1])
+    client = BackendClient()
+    assert await client.can_connect(address) is not is_ending
+    server.close()
+
+
 @pytest.mark.parametrize("body", [b"", b"x" * 200_000], ids=["none", "long"])
 @in_loop
 async def test_guard_refuses_after_connecting(body: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
