Exclude servers that a restored store lists again after their removal

Cause: VMs forget a server when its record is removed, so that the record of the copy is that of a new server. Those that said that they leave were remembered by their process; others were not.

VMs remember removed processes for a minute. If one is listed by a later era of the store, it gets no requests for 6.5 s, in which the record of a server that does not run expires. A server that had only lost contact with the store, and registered again before the restore, is used at once.

Before, the new test fails in one of its two cases; both pass now.

--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -55,6 +55,7 @@
 from .reader import StoreReader
 from .relay_peers import choose_relay_peers
 from .remote_versions import OPERATOR_READ_TIMEOUT_S, REGION_READ_TIMEOUT_S, RemoteVersions
+from .removed_servers import RETURN_DELAY_S, RemovedServers
 from .state_change_logger import StateChangeLogger
 from .sync_reporter import SyncReporter
 
@@ -211,6 +212,7 @@
         self._operator = OperatorState()
         self._operator_in_force = OperatorState()
         self._kept_evacuations = KeptEvacuations()
+        self._removed_servers = RemovedServers()
         # Era of the store in which this VM has registered; ``None`` before it has.
         self._registered_era: int | None = None
         self._registering: asyncio.Task[None] | None = None
@@ -943,7 +945,7 @@
         for address in self._server_addresses - addresses:
             self._on_address_removed(address)
         self._server_addresses = addresses
-        self._exclude_leaving_servers()
+        self._exclude_servers()
         _LOG.info(
             "backend servers changed",
             extra={
@@ -962,14 +964,29 @@
         )
         self._send_state()
 
-    def _exclude_leaving_servers(self) -> None:
-        """Exclude processes that leave for good: a restored store may list them as they were."""
+    def _exclude_servers(self) -> None:
+        """Exclude processes that leave or were removed, which a restored store lists as before."""
         now = self._clock.now()
-        for server in self.registry.servers.values():
-            record = server.record
-            # Without its start time, a record may be that of a later process under the same id.
-            if record.is_leaving and record.started_unix_ms:
+        # Without its start time, a record may be that of a later process under the same id.
+        records = [
+            server.record
+            for server in self.registry.servers.values()
+            if server.record.started_unix_ms
+        ]
+        for record in records:
+            if record.is_leaving:
                 self.picker.notices.record(now, record.process_id, ServerNotice(is_leaving=True))
+        process_ids = {record.process_id for record in records}
+        era = era_of(self.registry.version)
+        returned = self._removed_servers.on_listing(now, era, process_ids)
+        for process_id in returned:
+            notice = ServerNotice(pause_s=RETURN_DELAY_S)
+            self.picker.notices.record(now, process_id, notice)
+        if returned:
+            _LOG.warning(
+                "restored store lists removed servers, which get no requests for now",
+                extra={"era": era, "servers": sorted(returned), "pause_s": RETURN_DELAY_S},
+            )
 
 
 def _without_reads(message: VmState | RegionDigest) -> VmState | RegionDigest:
--- /dev/null
+++ b/src/hibiscushaven/gateway/removed_servers.py
@@ -0,0 +1,62 @@
+"""Backend servers whose removal a restored store does not know."""
+
+from collections.abc import Set
+
+from hibiscushaven.discovery import EXPIRY_GRACE_S, RENEWAL_INTERVAL_S
+
+__all__ = ["RETURN_DELAY_S", "RemovedServers"]
+
+# Renewals that a server misses before its record expires.
+MISSED_RENEWALS = 3
+
+# Time after a restore in which a record that came back with the copy expires, unless its server
+# runs and renews it.
+RETURN_DELAY_S = MISSED_RENEWALS * RENEWAL_INTERVAL_S + EXPIRY_GRACE_S
+
+# Time for which a removal is remembered; the copy that a store is restored from is younger.
+MEMORY_S = 60.0
+
+
+class RemovedServers:
+    """Processes of backend servers whose records were removed a short time ago.
+
+    Explanation
+    ===========
+
+    A store that comes back from a copy lists the servers that were removed since the copy, until
+    their records expire. They must get no requests meanwhile. A server that had only lost contact
+    with the store keeps its record, and is used again after ``RETURN_DELAY_S``.
+
+    Examples
+    ========
+
+    >>> removed = RemovedServers()
+    >>> removed.on_listing(10.0, 1, {"s1/7", "s2/7"})
+    frozenset()
+    >>> removed.on_listing(11.0, 1, {"s1/7"})
+    frozenset()
+    >>> removed.on_listing(12.0, 2, {"s1/7", "s2/7"})
+    frozenset({'s2/7'})
+
+    """
+
+    def __init__(self) -> None:
+        self._era = 0
+        self._listed: frozenset[str] = frozenset()
+        self._removed_at: dict[str, float] = {}
+
+    def on_listing(self, now: float, era: int, process_ids: Set[str]) -> frozenset[str]:
+        """Record the processes that are listed; return those that a copy of the store brought back.
+
+        :param era: era of the store that lists them.
+        """
+        listed = frozenset(process_ids)
+        remembered = {key for key, at in self._removed_at.items() if now - at <= MEMORY_S}
+        returned = listed & remembered if era > self._era else frozenset()
+        self._removed_at = {
+            key: self._removed_at.get(key, now)
+            for key in remembered | (self._listed - listed)
+            if key not in listed
+        }
+        self._era, self._listed = era, listed
+        return returned
--- a/src/hibiscushaven/gateway/tests/test_restored_store.py
+++ b/src/hibiscushaven/gateway/tests/test_restored_store.py
@@ -3,10 +3,13 @@
 import asyncio
 from dataclasses import replace
 
+import pytest
+
 from hibiscushaven.discovery import EXPIRY_GRACE_S
 from hibiscushaven.eras import era_of, version_of
 from hibiscushaven.gateway import ServerListing
 from hibiscushaven.gateway.node import REGISTER_SPREAD_S
+from hibiscushaven.gateway.removed_servers import RETURN_DELAY_S
 from hibiscushaven.process.tests.support import VirtualClock
 
 from .simulated_region import SimulatedRegion
@@ -95,6 +98,28 @@
     run_in_loop(scenario)
 
 
+@pytest.mark.parametrize("is_registered_again", [False, True])
+def test_server_that_was_removed_is_excluded_while_the_copy_lists_it(is_registered_again):
+    """Guards against requests to a server that is gone, whose record came back with the copy."""
+
+    def scenario():
+        clock = VirtualClock()
+        node = make_node(clock=clock)
+        begin_era_1(node)
+        both = (make_record("s1"), make_record("s2", started_unix_ms=7))
+        node._on_listing(ServerListing(START + 1, both[:1]), 0.5)
+        if is_registered_again:
+            node._on_listing(ServerListing(START + 2, both), 0.5)
+        clock.time += 1.0
+        node._on_listing(ServerListing(COPY, both), 0.5)
+        node._adopt_operator(make_operator(COPY, 3), "store")
+        assert excluded_servers(node) == (set() if is_registered_again else {"s2"})
+        clock.time += RETURN_DELAY_S
+        assert excluded_servers(node) == set()
+
+    run_in_loop(scenario)
+
+
 def test_all_vms_follow_a_restored_store_and_register_again():
     """Guards against VMs that wait for numbers that the restored store has not reached."""
 
