Tell VMs that start which servers said in responses that they leave

A VM that starts again forgets which backend servers told it that they leave. While the store lists such a server as ready, the VM sends requests to it until it says so again.

VMs now share such servers once the store has listed them as ready for a second after the notice, as they share rate limits: in a few rounds, then once a second while there are any, and at once to a VM that starts. Builds without the message drop it.

--- a/src/hibiscushaven/fleet/messages.py
+++ b/src/hibiscushaven/fleet/messages.py
@@ -16,6 +16,7 @@
     "CrashReport",
     "DomainBroadcast",
     "ForwarderReport",
+    "LeavingReport",
     "LinkReport",
     "Message",
     "MessageError",
@@ -207,6 +208,16 @@
     ages_s: Mapping[str, float] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class LeavingReport:
+    """Backend servers that said in responses that they leave, as known to the sender.
+
+    :ivar ages_s: seconds since a server said so, by its process id.
+    """
+
+    ages_s: Mapping[str, float] = field(default_factory=dict)
+
+
 @dataclass(frozen=True, slots=True)
 class LinkReport:
     """What VMs said about their own links to the backend servers, as known to the sender.
@@ -248,6 +259,7 @@
     | LinkReport
     | ForwarderReport
     | DomainBroadcast
+    | LeavingReport
 )
 
 # The index of a type identifies it in datagrams.
@@ -259,6 +271,7 @@
     LinkReport,
     ForwarderReport,
     DomainBroadcast,
+    LeavingReport,
 )
 
 
--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -21,6 +21,7 @@
     FleetTransport,
     FleetView,
     ForwarderReport,
+    LeavingReport,
     LinkReport,
     Message,
     RateLimitReport,
@@ -45,6 +46,7 @@
 from .gossip import Gossip
 from .isolation_exchange import IsolationExchange
 from .kept_evacuations import KeptEvacuations
+from .leaving_exchange import LeavingExchange
 from .link_monitor import LinkMonitor
 from .lost_servers import LostServers
 from .options import GatewayOptions
@@ -186,6 +188,9 @@
         self.rate_limit_exchange = RateLimitExchange(
             self.picker.rate_limits, self.view, clock, self._send_datagram
         )
+        self.leaving_exchange = LeavingExchange(
+            self.picker.notices, self.registry, self.view, clock, self._send_datagram
+        )
         self.isolation_exchange = IsolationExchange(self.view, clock, self._send_datagram)
         self._incarnation = draw_incarnation()
         self._broadcasts = DomainBroadcasts(
@@ -195,6 +200,7 @@
         self._handlers: dict[type[Message], Callable[[Any], None]] = {
             CrashReport: self.crash_exchange.on_report,
             RateLimitReport: self.rate_limit_exchange.on_report,
+            LeavingReport: self.leaving_exchange.on_report,
             LinkReport: self.isolation_exchange.on_report,
             ForwarderReport: self._broadcasts.on_report,
             DomainBroadcast: self._broadcasts.on_broadcast,
@@ -703,6 +709,7 @@
         return (
             self.crash_exchange.gossip,
             self.rate_limit_exchange.gossip,
+            self.leaving_exchange.gossip,
             self.isolation_exchange.gossip,
         )
 
@@ -801,6 +808,7 @@
         self._check_registration()
         self.crash_exchange.gossip.step()
         self.rate_limit_exchange.gossip.step()
+        self.leaving_exchange.step()
         self.isolation_exchange.step()
         self._broadcasts.step()
         self.crashes.discard_disproved()
--- a/src/hibiscushaven/gateway/tests/test_malformed_messages.py
+++ b/src/hibiscushaven/gateway/tests/test_malformed_messages.py
@@ -10,6 +10,7 @@
 from hibiscushaven.fleet import (
     CrashReport,
     DomainBroadcast,
+    LeavingReport,
     LinkReport,
     MessageError,
     RateLimitReport,
@@ -44,6 +45,7 @@
     RegionDigest("vale", "vm-9", 1, 1, {TOKEN: 1}, {TOKEN: 2.0}),
     CrashReport({"f": [(PROCESS, 1.0, 0.5)]}, {"f": 0.5}),
     RateLimitReport({PROCESS: 3.0}, {PROCESS: 0.5}),
+    LeavingReport({PROCESS: 0.5}),
     LinkReport({"vm-2": 0.5}, {"vm-3": 0.1}),
     DomainBroadcast(encode(STATE)),
 )
--- a/src/hibiscushaven/gateway/tests/test_server_notices.py
+++ b/src/hibiscushaven/gateway/tests/test_server_notices.py
@@ -58,6 +58,28 @@
     assert all(response.status == 200 for response in traffic.responses)
 
 
+def test_vm_that_starts_again_sends_nothing_to_servers_that_told_it_that_they_leave():
+    """Guards against a restart that loses what only responses had said."""
+
+    async def scenario(region):
+        backends = SimulatedBackends(region, SERVERS)
+        traffic = SimulatedTraffic(region, backends)
+        await asyncio.sleep(ADOPTION_S)
+        backends.leaving = set(backends.servers[::3])
+        await traffic.run(4.0, arrivals_per_s=ARRIVALS_PER_S)
+        traffic.remove_vm("serra-1")
+        async with region.killed("serra-1"):
+            await asyncio.sleep(2.0)
+        backends.unwanted_arrivals.clear()
+        traffic.add_vm("serra-1", region.nodes["serra-1"])
+        await traffic.run(3.0, arrivals_per_s=ARRIVALS_PER_S)
+        served = sum(response.vm == "serra-1" for response in traffic.responses[-200:])
+        return served, backends.unwanted_arrivals
+
+    served, unwanted_arrivals = SimulatedRegion.run(SIZES, scenario)
+    assert served and unwanted_arrivals == []
+
+
 def play_pauses(pause_s):
     """Let a third of the servers reject all requests and ask for a pause each time."""
 
--- a/src/hibiscushaven/placement/notices.py
+++ b/src/hibiscushaven/placement/notices.py
@@ -1,5 +1,6 @@
 """What backend servers say about themselves with their responses."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from .loads import LoadReport
@@ -63,10 +64,15 @@
     """
 
     def __init__(self) -> None:
-        # Process ids, oldest first.
-        self._leaving: dict[str, None] = {}
+        # Times of the first notice by process id, oldest first.
+        self._leaving: dict[str, float] = {}
         self._paused_until: dict[str, float] = {}
 
+    @property
+    def leaving_since(self) -> Mapping[str, float]:
+        """Processes that leave, each with the time at which this became known."""
+        return self._leaving
+
     def record(
         self, now: float, process_id: str, notice: ServerNotice, spread: float = 0.0
     ) -> bool:
@@ -76,9 +82,7 @@
         """
         was_excluded = self.is_excluded(now, process_id)
         if notice.is_leaving:
-            self._leaving[process_id] = None
-            if len(self._leaving) > MAX_LEAVING:
-                del self._leaving[next(iter(self._leaving))]
+            self.record_leaving(process_id, now)
         if notice.pause_s is not None:
             pause_s = min(notice.pause_s, MAX_PAUSE_S)
             pause_s += spread * min(MAX_PAUSE_SPREAD_S, PAUSE_SPREAD * pause_s)
@@ -86,6 +90,18 @@
             self._paused_until[process_id] = until
         return not was_excluded and self.is_excluded(now, process_id)
 
+    def record_leaving(self, process_id: str, since: float) -> bool:
+        """Record that a process leaves; return whether this was not known.
+
+        :param since: time at which it said so.
+        """
+        if process_id in self._leaving:
+            return False
+        self._leaving[process_id] = since
+        if len(self._leaving) > MAX_LEAVING:
+            del self._leaving[next(iter(self._leaving))]
+        return True
+
     def record_served(self, now: float, process_id: str) -> None:
         """Record that a server has served a request of this VM; its pause holds until its end."""
         if self.pause_left_s(now, process_id) <= 0:
