Adopt the later configuration that other VMs kept over a restored store

Callers: after a restore, a VM that starts and hears no other VM before its first read routes by the configuration of the copy, although a later one was confirmed (CONFIG), until the operator writes again; so does a region whose VMs all start then.

Cause: VMs that held the later configuration keep it under the version of the copy, so that both VMs announce the same version, and neither fetches anything.

States and digests name the version of the configuration as well. A VM that hears of a later one at its own version fetches it, also from another region while its own one reads the store. Builds without the field announce 0, and older builds ignore it.

--- a/src/hibiscushaven/fleet/messages.py
+++ b/src/hibiscushaven/fleet/messages.py
@@ -119,6 +119,8 @@
         remain valid.
     :ivar slowness: latest processing time that each backend server reported, by token, in
         percent of the usual one and with the age of the report in seconds.
+    :ivar configuration_version: version that the operator gave the configuration in force. It may
+        be later than the one in the store at ``operator_version`` after a restore.
     """
 
     name: str
@@ -142,6 +144,7 @@
     arrivals: Mapping[int, float] = field(default_factory=dict)
     has_arrivals: bool = True
     slowness: Mapping[int, Sequence[float]] = field(default_factory=dict)
+    configuration_version: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -161,6 +164,7 @@
     :ivar servers_age_s: as ``operator_age_s``, for the servers.
     :ivar lost_server_ages_s: as in ``VmState``, for all VMs whose states the sender receives.
     :ivar slowness: as in ``VmState``, for all VMs whose states the sender receives.
+    :ivar configuration_version: of the sender, as in ``VmState``.
     """
 
     region: str
@@ -178,6 +182,7 @@
     servers_age_s: float = 1e6
     lost_server_ages_s: Mapping[int, float] = field(default_factory=dict)
     slowness: Mapping[int, Sequence[float]] = field(default_factory=dict)
+    configuration_version: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -237,6 +237,7 @@
         self._servers_proofs = ReadProofs()
         self._newest_operator_version = 0
         self._newer_operator_seen_at = float("-inf")
+        self._lacks_configuration = False
         self._newest_servers_version = 0
         self._newest_servers_read_at = float("-inf")
         self._tasks: list[asyncio.Task[None]] = []
@@ -456,7 +457,7 @@
         Equal versions confirm nothing: each message makes a read appear later by its delay, so
         that regions that read nothing would keep confirming each other's data.
         """
-        if not self._is_region_unread():
+        if not (self._is_region_unread() or self._has_later_configuration(state)):
             return
         address = state.peers_at or self.view.peers_at_of(name)
         if not (self._note_newer_versions(now, state) and address):
@@ -481,10 +482,19 @@
             newest, (state.servers_version, now - state.servers_age_s)
         )
         is_operator_newer = state.operator_version > self._operator.version
+        if self._has_later_configuration(state):
+            self._lacks_configuration = is_operator_newer = True
         if is_operator_newer:
             self._newer_operator_seen_at = now
         return is_operator_newer or state.servers_version > self.registry.version
 
+    def _has_later_configuration(self, state: VmState | RegionDigest) -> bool:
+        """Return whether a VM has kept a later configuration than that of a restored store."""
+        return (
+            state.operator_version == self._operator.version
+            and state.configuration_version > self._operator.configuration_version
+        )
+
     def _observing_since(self) -> float:
         """Return since when this VM would have heard of reads by the others of its region."""
         return max(self._pauses.resumed_at, self.view.contact_since(self._clock.now()))
@@ -499,7 +509,7 @@
         """Fetch the data from a peer that is newer than that of this VM."""
         return await self._transport.pull(
             address,
-            self._operator.version,
+            self._operator.version - self._lacks_configuration,
             0 if self._has_diverged else self.registry.version,
             timeout_s,
         )
@@ -644,6 +654,7 @@
         return {
             "operator_version": operator_version,
             "operator_age_s": operator_age_s(now, operator_version),
+            "configuration_version": self._operator.configuration_version,
             "servers_version": servers_version,
             "servers_age_s": servers_age_s(now, servers_version),
         }
@@ -885,8 +896,10 @@
 
     def _adopt_operator(self, operator: OperatorState, source: str) -> None:
         previous = self._operator
-        if operator.version <= previous.version:
+        known = previous.version, previous.configuration_version
+        if (operator.version, operator.configuration_version) <= known:
             return
+        self._lacks_configuration = False
         adopted = operator.with_later_configuration(previous)
         if adopted is not operator:
             _LOG.error(
--- a/src/hibiscushaven/gateway/tests/test_restored_store.py
+++ b/src/hibiscushaven/gateway/tests/test_restored_store.py
@@ -1,6 +1,7 @@
 """Regions of VMs whose store comes back from a copy: its numbers are given out again."""
 
 import asyncio
+import contextlib
 from dataclasses import replace
 
 import pytest
@@ -120,6 +121,34 @@
     run_in_loop(scenario)
 
 
+@pytest.mark.parametrize("is_whole_region", [False, True])
+def test_vm_that_starts_after_a_restore_adopts_the_later_configuration_of_the_others(
+    is_whole_region,
+):
+    """Guards against a VM that keeps the configuration of the copy, which has the same version."""
+
+    async def scenario(region):
+        region.begin_era(1, number=500)
+        region.put_configuration(2)
+        await asyncio.sleep(2.0)
+        names = [name for name in region.nodes if is_whole_region and name.startswith("vale")]
+        async with contextlib.AsyncExitStack() as restarts:
+            for name in names or ["serra-1"]:
+                await restarts.enter_async_context(region.killed(name))
+            region.operator = make_operator(10, configuration=1)
+            region.begin_era(2, number=100)
+            await asyncio.sleep(1.0)
+        region.loss_rate = 1.0
+        await asyncio.sleep(CHANGE_BOUND_S)
+        restarted = region.nodes[(names or ["serra-1"])[0]]
+        assert restarted.operator.configuration.version == 1
+        region.loss_rate = 0.0
+        await asyncio.sleep(CHANGE_BOUND_S)
+        return {node.operator.configuration.version for node in region.nodes.values()}
+
+    assert SimulatedRegion.run({"serra": 6, "vale": 4}, scenario) == {2}
+
+
 def test_all_vms_follow_a_restored_store_and_register_again():
     """Guards against VMs that wait for numbers that the restored store has not reached."""
 
