Name the request in the responses that a VM makes itself

Callers: a caller that sends several requests on a connection can tell which of them a rejection or failure of the VM belongs to by its place only, while responses of backend servers have the request's id. It is the class of the refused requests that ran, on the side of the callers.

Responses that no server or other VM has made now have the id, also those for size and slowness whose head has arrived. A server's response without an id stays as it is.

Three tests fail before: both own responses of the application, and the 408 of a stalled body.

--- a/src/hibiscushaven/forwarding/app.py
+++ b/src/hibiscushaven/forwarding/app.py
@@ -62,9 +62,9 @@
         received_at = self._now()
         body = await self._read_body(receive)
         if body is None:
-            await self._write(
-                send, scope["method"], rejection_response("body too large", None, 413)
-            )
+            request = self._request(scope, b"", received_at)
+            response = rejection_response("body too large", None, 413)
+            await self._write(send, request, response)
             return
         self._body_bytes += len(body)
         try:
@@ -72,7 +72,7 @@
             response = await _cancel_on_disconnect(self._forwarder.handle(request), receive)
         finally:
             self._body_bytes -= len(body)
-        await self._write(send, scope["method"], response)
+        await self._write(send, request, response)
 
     def _request(self, scope: Scope, body: bytes, received_at: float) -> CallerRequest:
         headers: Headers = tuple(
@@ -98,14 +98,17 @@
             if not message.get("more_body"):
                 return b"".join(parts)
 
-    async def _write(self, send: Send, method: str, response: CallerResponse) -> None:
+    async def _write(self, send: Send, request: CallerRequest, response: CallerResponse) -> None:
         headers = [
             (name.lower().encode("latin-1"), value.encode("latin-1"))
             for name, value in response.headers
             if name.lower() != "content-length"
         ]
+        if response.is_own and request.request_id:
+            id_header = self._dialect.id_header.lower()
+            headers.append((id_header.encode(), request.request_id.encode("latin-1")))
         length = response.length if response.length is not None else None
-        if response.body_stream is None and method != "HEAD":
+        if response.body_stream is None and request.method != "HEAD":
             length = len(response.body)
         if length is not None and response.status not in _BODILESS_STATUSES:
             headers.append((b"content-length", str(length).encode()))
--- a/src/hibiscushaven/forwarding/messages.py
+++ b/src/hibiscushaven/forwarding/messages.py
@@ -51,6 +51,7 @@
     :ivar body: the whole body, or its beginning if there is a ``body_stream``.
     :ivar body_stream: remainder of the body; raises an exception if it is truncated.
     :ivar length: length of the whole body in bytes, if known.
+    :ivar is_own: whether this VM made it itself, instead of a backend server or another VM.
     """
 
     status: int
@@ -58,6 +59,7 @@
     body: bytes = field(default=b"", repr=False)
     body_stream: AsyncIterator[bytes] | None = None
     length: int | None = None
+    is_own: bool = False
 
 
 class CallerDialect(Protocol):
@@ -108,4 +110,4 @@
     ]
     if retry_after_s is not None:
         headers.append(("Retry-After", f"{retry_after_s:.3g}"))
-    return CallerResponse(status, tuple(headers), body, length=len(body))
+    return CallerResponse(status, tuple(headers), body, length=len(body), is_own=True)
--- a/src/hibiscushaven/forwarding/tests/test_app.py
+++ b/src/hibiscushaven/forwarding/tests/test_app.py
@@ -4,12 +4,20 @@
 
 import pytest
 
-from hibiscushaven.forwarding import CallerApp, CallerRequest, CallerResponse
+from hibiscushaven.forwarding import (
+    CallerApp,
+    CallerRequest,
+    CallerResponse,
+    failure_response,
+    rejection_response,
+)
 from hibiscushaven.forwarding import app as app_module
 from hibiscushaven.process.tests.support import VirtualClock
 
 
 class Dialect:
+    id_header = "Request-Id"
+
     def read(self, headers, method, path, target, body, now):
         return CallerRequest("id", method, "h", path, target, headers, body, None, None, now)
 
@@ -84,6 +92,13 @@
     assert messages[1] == {"type": "http.response.body", "body": b"whole", "more_body": False}
 
 
+@pytest.mark.parametrize("response", [rejection_response("full", 0.2), failure_response(502, "")])
+def test_response_of_the_vm_itself_names_its_request(response):
+    """Guards against a refusal that a caller takes for that of another request."""
+    messages = serve(ScriptedForwarder(response), [body()])
+    assert (b"request-id", b"id") in messages[0]["headers"]
+
+
 def test_disconnect_of_the_caller_cancels_its_request():
     """Guards against attempts that continue after their caller has disconnected."""
     forwarder = ScriptedForwarder()
--- a/src/hibiscushaven/process/caller_protocol.py
+++ b/src/hibiscushaven/process/caller_protocol.py
@@ -44,9 +44,8 @@
     Explanation
     ===========
 
-    The response to a request that is in progress precedes the one to bytes that are no request.
-    Responses name no request, so that a caller takes each for that to its earliest request
-    without one.
+    The response to a request that is in progress precedes the one to bytes that are no request,
+    since callers take each response for that to their earliest request without one.
     """
 
     def __init__(self, *args: Any, **options: Any) -> None:
@@ -106,7 +105,8 @@
     caller cannot learn of a shorter one before the next response.
 
     :param limits: returns the limits in force.
-    :param id_header: lower-case name of the header field with a request's id, for the log.
+    :param id_header: lower-case name of the header field with a request's id, for the log and
+        for responses.
     """
 
     def __init__(
@@ -204,17 +204,22 @@
             cycle.message_event.set()
             self._reject(408)
 
-    def _request_id(self) -> str:
+    def _request_id(self) -> bytes:
         """Return the id in the head of the request that is being received, if it has arrived."""
         fields = (value for name, value in self.headers or () if name == self._id_header)
-        return next(fields, b"").decode("latin-1")
+        return next(fields, b"")
 
     def _reject(self, status: int) -> None:
         """Respond to a request that has not arrived completely, and end the connection."""
         self._is_rejected = True
+        request_id = self._request_id()
         self.logger.warning(
             "request of a caller refused",
-            extra={"request_id": self._request_id(), "status": status, "not_run_by": "vm"},
+            extra={
+                "request_id": request_id.decode("latin-1"),
+                "status": status,
+                "not_run_by": "vm",
+            },
         )
         if self._is_in_head and self.cycle is not None and not self.cycle.response_complete:
             # The previous request is still being answered; its response closes the connection.
@@ -222,9 +227,10 @@
             return
         if self._drop_queued_request():
             return
+        id_field = b"%b: %b\r\n" % (self._id_header, request_id) if request_id else b""
         self.transport.write(
-            b"HTTP/1.1 %d %b\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
-            % (status, _REASON_PHRASES[status])
+            b"HTTP/1.1 %d %b\r\n%bcontent-length: 0\r\nconnection: close\r\n\r\n"
+            % (status, _REASON_PHRASES[status], id_field)
         )
         if self.transport.can_write_eof():
             self.transport.write_eof()
--- a/src/hibiscushaven/process/tests/test_caller_protocol.py
+++ b/src/hibiscushaven/process/tests/test_caller_protocol.py
@@ -252,8 +252,8 @@
     run_scenario(scenario)
 
 
-def test_log_names_the_request_whose_body_stalled(run_scenario, caplog):
-    """Guards against rejections that cannot be found by the id of their request."""
+def test_log_and_response_name_the_request_whose_body_stalled(run_scenario, caplog):
+    """Guards against rejections whose request is unknown to the operator or the caller."""
 
     async def scenario(connection):
         await connection.receive(PARTIAL_BODY.replace(b"Host", b"Request-Id: id-1\r\nHost"))
@@ -261,6 +261,7 @@
         await connection.settle()
         line = next(item for item in caplog.records if item.msg == "request of a caller refused")
         assert (line.request_id, line.status, line.not_run_by) == ("id-1", 408, "vm")
+        assert b"\r\nrequest-id: id-1\r\n" in connection.written
 
     run_scenario(scenario)
 
