--- a/src/hibiscushaven/forwarding/relaying.py
+++ b/src/hibiscushaven/forwarding/relaying.py
@@ -153,8 +153,7 @@
     """Return a response with the id by which the VM that relayed its request recognizes it."""
     if not request.relay_id:
         return response
-    headers = (*_without_id(response.headers), (ID_HEADER, request.relay_id))
-    return replace(response, headers=headers)
+    return replace(response, headers=(*response.headers, (ID_HEADER, request.relay_id)))
 
 
 def is_relay_refusal(headers: Headers) -> bool:
@@ -171,10 +170,6 @@
     return tuple(item for item in headers if item[0].lower() not in _RELAY_HEADERS)
 
 
-def _without_id(headers: Headers) -> Headers:
-    return tuple(item for item in headers if item[0].lower() != ID_HEADER.lower())
-
-
 def _relay_id(headers: Headers) -> str:
     value = find_header(headers, ID_HEADER)
     return value if value is not None and _RELAY_ID.fullmatch(value) else ""
--- a/tests/processes/random_faults.py
+++ b/tests/processes/random_faults.py
@@ -17,6 +17,8 @@
 import aiohttp
 import click
 
+from hibiscushaven.forwarding.refusals import NOT_RUN_STATUSES
+
 from .faulty_servers import FaultyServer, Mode
 from .gateways import Gateways
 
@@ -24,7 +26,6 @@
 SERVERS = 6
 LOOKUP_DELAY_S = 4.0  # time for the VMs to read the store
 MAX_FREEZE_S = 3.0
-NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
 async def call(gateways, rng, number, end, statuses):
