Name the leaving servers in the response that hands the servers to another VM

A sync response with servers now has the report of those that leave beside them. It is left out while there are none, so that builds that expect two items read it as before; those that ignore later items read it in any case.

The new test fails before, and the one of the fields of later builds now has the report as well.

--- a/src/hibiscushaven/fleet/sync.py
+++ b/src/hibiscushaven/fleet/sync.py
@@ -10,7 +10,7 @@
 from hibiscushaven.routing import Configuration, OperatorState
 from hibiscushaven.routing.codec import configuration_from_list, configuration_to_list
 
-from .messages import MessageError
+from .messages import LeavingReport, MessageError, decode, encode
 
 __all__ = ["SyncResponse", "decode_sync_response", "encode_sync_response"]
 
@@ -20,10 +20,13 @@
     """Newer versions for a VM that asked; ``None`` where it is up to date.
 
     Points in time are sent as remaining seconds, since the clocks of VMs cannot be compared.
+
+    :ivar leaving: which of the servers leave although the store lists them as ready, if any do.
     """
 
     operator: OperatorState | None = None
     servers: RegistryUpdate | None = None
+    leaving: LeavingReport | None = None
 
 
 def encode_sync_response(now: float, response: SyncResponse) -> bytes:
@@ -43,7 +46,10 @@
         sorted(servers.removed),
         servers.checksum,
     ]
-    return msgpack.packb([operator_items, servers_items])
+    items: list[Any] = [operator_items, servers_items]
+    if response.leaving is not None:
+        items.append(encode(response.leaving))
+    return msgpack.packb(items)
 
 
 def decode_sync_response(now: float, items: Any) -> SyncResponse:
@@ -52,7 +58,7 @@
     :raises MessageError: when the message is malformed.
     """
     try:
-        operator_items, servers_items, *_ = items
+        operator_items, servers_items, *later_items = items
         operator = None
         if operator_items is not None:
             revision, configuration, evacuated, *_ = operator_items
@@ -65,7 +71,10 @@
             by_id = {server.record.server_id: server for server in listed_servers}
             base = None if base is None else int(base)
             servers = RegistryUpdate(int(version), by_id, base, frozenset(removed), int(checksum))
-        return SyncResponse(operator, servers)
+        leaving = decode(later_items[0]) if later_items and later_items[0] is not None else None
+        if not isinstance(leaving, LeavingReport | None):
+            raise TypeError(f"{leaving!r} does not name servers that leave")
+        return SyncResponse(operator, servers, leaving)
     except (ArithmeticError, AttributeError, LookupError, TypeError, ValueError) as error:
         raise MessageError(f"malformed sync response: {error!r}") from error
 
--- a/src/hibiscushaven/fleet/tests/test_fleet.py
+++ b/src/hibiscushaven/fleet/tests/test_fleet.py
@@ -14,6 +14,7 @@
 from hibiscushaven.fleet import (
     FleetTransport,
     FleetView,
+    LeavingReport,
     MessageError,
     RegionDigest,
     SyncResponse,
@@ -171,7 +172,7 @@
     record = ServerRecord("s1", "stock", Endpoint("10.0.0.9", 80), "serra-a", 4)
     operator = OperatorState(5, Configuration(3), frozenset({"vale-a"}))
     servers = RegistryUpdate(9, {"s1": KnownServer(record, 12.0, None)}, 7, frozenset({"s2"}), 5)
-    return SyncResponse(operator, servers)
+    return SyncResponse(operator, servers, LeavingReport({"s1/1000": 0.5}))
 
 
 def test_sync_response_keeps_remaining_times_between_different_clocks():
@@ -181,6 +182,7 @@
     items = msgpack.unpackb(encode_sync_response(10.0, make_sync_response()))
     response = decode_sync_response(100.0, items)
     assert response.operator == make_sync_response().operator
+    assert response.leaving == make_sync_response().leaving
     assert (response.servers.base_version, response.servers.removed, response.servers.checksum) == (
         7,
         {"s2"},
@@ -264,7 +266,7 @@
     state, response = make_state(in_progress={TOKEN: 3}), make_sync_response()
     later = msgpack.packb([*msgpack.unpackb(encode(state), strict_map_key=False), "new", 1])
     assert decode(later) == state
-    operator, servers = msgpack.unpackb(encode_sync_response(0.0, response))
+    operator, servers, leaving = msgpack.unpackb(encode_sync_response(0.0, response))
     servers[1] = [[*item, "new"] for item in servers[1]]
-    later_items = [[*operator, "new"], [*servers, "new"], "new"]
+    later_items = [[*operator, "new"], [*servers, "new"], leaving, "new"]
     assert decode_sync_response(0.0, later_items) == response
--- a/src/hibiscushaven/gateway/leaving_exchange.py
+++ b/src/hibiscushaven/gateway/leaving_exchange.py
@@ -1,7 +1,7 @@
 """Exchange of which backend servers have said in responses that they leave."""
 
 import logging
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 
 from hibiscushaven.discovery import Registry
 from hibiscushaven.fleet import FleetView, LeavingReport
@@ -29,7 +29,7 @@
     ===========
 
     A VM knows that only from responses, and forgets it when it starts again. The other VMs tell it
-    then.
+    then, at the latest with the servers themselves.
 
     :ivar gossip: spreads the servers.
     """
@@ -80,10 +80,13 @@
             and since.get(record.process_id, until) < until
         }
 
-    def _make_datagram(self) -> bytes | None:
+    def report(self) -> LeavingReport | None:
+        """Return the servers to tell another VM of, ``None`` if there are none."""
         now = self._now()
         latest = sorted(self._unlisted().items(), key=lambda item: item[1], reverse=True)
-        if not latest:
-            return None
-        ages_s: Mapping[str, float] = {key: now - at for key, at in latest[:MAX_SHARED_SERVERS]}
-        return encode(LeavingReport(ages_s))
+        ages_s = {key: now - at for key, at in latest[:MAX_SHARED_SERVERS]}
+        return LeavingReport(ages_s) if ages_s else None
+
+    def _make_datagram(self) -> bytes | None:
+        report = self.report()
+        return None if report is None else encode(report)
--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -515,6 +515,8 @@
         )
 
     def _on_sync_response(self, response: SyncResponse, source: str) -> None:
+        if response.leaving is not None:
+            self.leaving_exchange.on_report(response.leaving)
         if response.operator is not None:
             self._adopt_operator(response.operator, source)
         if response.servers is not None:
@@ -573,6 +575,7 @@
         return SyncResponse(
             self._operator if has_operator else None,
             self.registry.update_since(servers_version) if has_servers else None,
+            self.leaving_exchange.report() if has_servers else None,
         )
 
     def _process_ran_at(self, process_id: str, at: float) -> bool:
--- a/src/hibiscushaven/gateway/tests/test_server_notices.py
+++ b/src/hibiscushaven/gateway/tests/test_server_notices.py
@@ -5,8 +5,14 @@
 
 import pytest
 
+from hibiscushaven.gateway import ServerListing
+from hibiscushaven.gateway.leaving_exchange import SHARING_DELAY_S
+from hibiscushaven.process.tests.support import VirtualClock
+
 from .simulated_backends import SimulatedBackends, SimulatedTraffic
 from .simulated_region import SimulatedRegion
+from .support import make_node, make_record
+from .test_node import run_in_loop
 
 # Time after a VM has heard that a server leaves from which it must send nothing to it.
 DRAIN_S = 2.5
@@ -101,6 +107,22 @@
     assert served and unwanted_arrivals == []
 
 
+def test_servers_from_another_vm_come_with_those_that_leave():
+    """Guards against requests between the servers and the message that names the leaving ones."""
+
+    def scenario():
+        clock = VirtualClock()
+        peer, node = make_node("vm-1", clock), make_node("vm-2", clock)
+        record = make_record("s1", started_unix_ms=7)
+        peer._on_listing(ServerListing(5, (record,)), 0.5)
+        peer.picker.notices.record_leaving(record.process_id, clock.now())
+        clock.time += 2 * SHARING_DELAY_S
+        node._on_sync_response(peer._make_sync_response(0, 0), "vm-1")
+        assert node.picker.is_excluded(clock.now(), node.registry.servers["s1"])
+
+    run_in_loop(scenario)
+
+
 def play_pauses(pause_s):
     """Let a third of the servers reject all requests and ask for a pause each time."""
 
