--- a/tests/processes/gateways.py
+++ b/tests/processes/gateways.py
@@ -87,6 +87,7 @@
     :param make_server: makes a server from its name, its host and the store; by default one that a
         request can crash.
     :param route: fields of the route that differ from the usual ones.
+    :ivar store: the store, which the test's own process serves.
     :ivar servers: the backend servers.
     :ivar crashes: number of servers that the crashing request has ended.
     """
@@ -94,10 +95,10 @@
     def __init__(self, directory, vms, servers, make_server=None, route=None):
         self._directory = directory
         self._logs = ProcessLogs(directory)
-        self._network = f"127.{random.randint(100, 250)}.{random.randint(1, 250)}"
+        self.network = f"127.{random.randint(100, 250)}.{random.randint(1, 250)}"
         self._vms = vms
         self._server_count = servers
-        self._store = StoreStandIn()
+        self.store = StoreStandIn()
         self._make_server = make_server or (
             lambda *arguments: CrashableServer(*arguments, self._count_crash)
         )
@@ -112,11 +113,11 @@
         return range(self._vms)
 
     async def __aenter__(self):
-        self._store_port = await self._store.start()
-        self._store.put("op", "config", configuration_row(7, [route_item(**self._route)]))
+        self._store_port = await self.store.start()
+        self.store.put("op", "config", configuration_row(7, [route_item(**self._route)]))
         for number in range(self._server_count):
-            host = f"{self._network}.{200 + number}"
-            server = self._make_server(f"i-{number}", host, self._store)
+            host = f"{self.network}.{200 + number}"
+            server = self._make_server(f"i-{number}", host, self.store)
             await server.start()
             self.servers.append(server)
         for number in self.vms:
@@ -134,7 +135,7 @@
             await process.wait()
         for server in self.servers:
             server.close()
-        await self._store.close()
+        await self.store.close()
 
     def signal(self, vm, number):
         """Send a signal to the process of a VM."""
@@ -183,4 +184,4 @@
         self.crashes += 1
 
     def _host(self, vm):
-        return f"{self._network}.{vm + 1}"
+        return f"{self.network}.{vm + 1}"
