Tell how many servers get no requests for which reason, and when that ends

On-call engineers saw when a server was left out at its own word, but not which ones are left out now, nor when one gets requests again. The gauge servers_left_out counts them by reason once a second, and a log line tells of each that gets requests again. What excludes servers beside placement is in one class now, outside of the node.

--- a/src/hibiscushaven/gateway/leaving_exchange.py
+++ b/src/hibiscushaven/gateway/leaving_exchange.py
@@ -3,13 +3,13 @@
 import logging
 from collections.abc import Callable
 
-from hibiscushaven.discovery import Registry
 from hibiscushaven.fleet import FleetView, LeavingReport
 from hibiscushaven.fleet.messages import encode
 from hibiscushaven.placement import ServerNotices
 from hibiscushaven.process import Clock
 
 from .gossip import Gossip
+from .server_exclusions import ExclusionReason, ServerExclusions
 
 __all__ = ["SHARING_DELAY_S", "LeavingExchange"]
 
@@ -37,13 +37,13 @@
     def __init__(
         self,
         notices: ServerNotices,
-        registry: Registry,
+        exclusions: ServerExclusions,
         view: FleetView,
         clock: Clock,
         send: Callable[[bytes, str], None],
     ) -> None:
         self._notices = notices
-        self._registry = registry
+        self._exclusions = exclusions
         self._now = clock.now
         self._shared: frozenset[str] = frozenset()
         self.gossip = Gossip(view, clock, self._make_datagram, send)
@@ -66,27 +66,25 @@
         self._shared = shared
         self.gossip.step()
 
+    def report(self) -> LeavingReport | None:
+        """Return the servers to tell another VM of, ``None`` if there are none."""
+        now = self._now()
+        latest = sorted(self._unlisted().items(), key=lambda item: item[1], reverse=True)
+        ages_s = {key: now - at for key, at in latest[:MAX_SHARED_SERVERS]}
+        return LeavingReport(ages_s) if ages_s else None
+
     def _unlisted(self) -> dict[str, float]:
         """Return the servers that the store lists as ready, with the times of their notices."""
         until = self._now() - SHARING_DELAY_S
         since = self._notices.leaving_since
-        records = (server.record for server in self._registry.servers.values()) if since else ()
         return {
-            record.process_id: since[record.process_id]
-            for record in records
+            process_id: since[process_id]
+            for process_id, reason in self._exclusions.reasons.items()
+            if reason is ExclusionReason.LEAVING and since.get(process_id, until) < until
             # Without its start time, the id may be that of a later process.
-            if not record.is_leaving
-            and record.started_unix_ms
-            and since.get(record.process_id, until) < until
+            and not process_id.endswith("/0")
         }
 
-    def report(self) -> LeavingReport | None:
-        """Return the servers to tell another VM of, ``None`` if there are none."""
-        now = self._now()
-        latest = sorted(self._unlisted().items(), key=lambda item: item[1], reverse=True)
-        ages_s = {key: now - at for key, at in latest[:MAX_SHARED_SERVERS]}
-        return LeavingReport(ages_s) if ages_s else None
-
     def _make_datagram(self) -> bytes | None:
         report = self.report()
         return None if report is None else encode(report)
--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -35,7 +35,7 @@
 from hibiscushaven.fleet.messages import draw_incarnation, encode, orders_by_era
 from hibiscushaven.ini.fields import Endpoint
 from hibiscushaven.metrics import Metrics
-from hibiscushaven.placement import Picker, PickerOptions, ServerLoads, ServerNotice
+from hibiscushaven.placement import Picker, PickerOptions, ServerLoads
 from hibiscushaven.process import Clock, PauseDetector, keep_running, spawn
 from hibiscushaven.quarantine import CrashLedger
 from hibiscushaven.routing import OperatorState, ServiceOptions
@@ -57,7 +57,7 @@
 from .reader import StoreReader
 from .relay_peers import choose_relay_peers
 from .remote_versions import OPERATOR_READ_TIMEOUT_S, REGION_READ_TIMEOUT_S, RemoteVersions
-from .removed_servers import RETURN_DELAY_S, RemovedServers
+from .server_exclusions import ServerExclusions
 from .state_change_logger import StateChangeLogger
 from .sync_reporter import SyncReporter
 
@@ -188,8 +188,9 @@
         self.rate_limit_exchange = RateLimitExchange(
             self.picker.rate_limits, self.view, clock, self._send_datagram
         )
+        self._exclusions = ServerExclusions(self.picker.notices, self.registry, metrics)
         self.leaving_exchange = LeavingExchange(
-            self.picker.notices, self.registry, self.view, clock, self._send_datagram
+            self.picker.notices, self._exclusions, self.view, clock, self._send_datagram
         )
         self.isolation_exchange = IsolationExchange(self.view, clock, self._send_datagram)
         self._incarnation = draw_incarnation()
@@ -218,7 +219,6 @@
         self._operator = OperatorState()
         self._operator_in_force = OperatorState()
         self._kept_evacuations = KeptEvacuations()
-        self._removed_servers = RemovedServers()
         # Era of the store in which this VM has registered; ``None`` before it has.
         self._registered_era: int | None = None
         self._registering: asyncio.Task[None] | None = None
@@ -823,6 +823,7 @@
         self.crash_exchange.gossip.step()
         self.rate_limit_exchange.gossip.step()
         self.leaving_exchange.step()
+        self._exclusions.step(now)
         self.isolation_exchange.step()
         self._broadcasts.step()
         self.crashes.discard_disproved()
@@ -969,7 +970,7 @@
         for address in self._server_addresses - addresses:
             self._on_address_removed(address)
         self._server_addresses = addresses
-        self._exclude_servers()
+        self._exclusions.on_registry_change(self._clock.now())
         _LOG.info(
             "backend servers changed",
             extra={
@@ -988,30 +989,6 @@
         )
         self._send_state()
 
-    def _exclude_servers(self) -> None:
-        """Exclude processes that leave or were removed, which a restored store lists as before."""
-        now = self._clock.now()
-        # Without its start time, a record may be that of a later process under the same id.
-        records = [
-            server.record
-            for server in self.registry.servers.values()
-            if server.record.started_unix_ms
-        ]
-        for record in records:
-            if record.is_leaving:
-                self.picker.notices.record(now, record.process_id, ServerNotice(is_leaving=True))
-        process_ids = {record.process_id for record in records}
-        era = era_of(self.registry.version)
-        returned = self._removed_servers.on_listing(now, era, process_ids)
-        for process_id in returned:
-            notice = ServerNotice(pause_s=RETURN_DELAY_S)
-            self.picker.notices.record(now, process_id, notice)
-        if returned:
-            _LOG.warning(
-                "restored store lists removed servers, which get no requests for now",
-                extra={"era": era, "servers": sorted(returned), "pause_s": RETURN_DELAY_S},
-            )
-
 
 def _without_reads(message: VmState | RegionDigest) -> VmState | RegionDigest:
     """Return a message of an older build without what it says of reads of the store.
--- a/src/hibiscushaven/gateway/tests/test_server_notices.py
+++ b/src/hibiscushaven/gateway/tests/test_server_notices.py
@@ -117,6 +117,7 @@
         peer._on_listing(ServerListing(5, (record,)), 0.5)
         peer.picker.notices.record_leaving(record.process_id, clock.now())
         clock.time += 2 * SHARING_DELAY_S
+        peer._step(clock.now())
         node._on_sync_response(peer._make_sync_response(0, 0), "vm-1")
         assert node.picker.is_excluded(clock.now(), node.registry.servers["s1"])
 
