Remember removed servers over several restores of the store

A server that a second restore lists again before its record could expire was used at the end of the pause that began with the first one, since its removal was forgotten when the first copy listed it. Found by reading; the new line of the example fails before.

--- a/src/hibiscushaven/gateway/removed_servers.py
+++ b/src/hibiscushaven/gateway/removed_servers.py
@@ -37,6 +37,8 @@
     frozenset()
     >>> removed.on_listing(12.0, 2, {"s1/7", "s2/7"})
     frozenset({'s2/7'})
+    >>> removed.on_listing(14.0, 3, {"s1/7", "s2/7"})
+    frozenset({'s2/7'})
 
     """
 
@@ -51,12 +53,14 @@
         :param era: era of the store that lists them.
         """
         listed = frozenset(process_ids)
+        is_restored = era > self._era
         remembered = {key for key, at in self._removed_at.items() if now - at <= MEMORY_S}
-        returned = listed & remembered if era > self._era else frozenset()
+        returned = listed & remembered if is_restored else frozenset()
+        # A process that appears without a restore has registered again, so that it runs.
+        registered = frozenset() if is_restored else listed - self._listed
         self._removed_at = {
             key: self._removed_at.get(key, now)
-            for key in remembered | (self._listed - listed)
-            if key not in listed
+            for key in (remembered - registered) | (self._listed - listed)
         }
         self._era, self._listed = era, listed
         return returned
