Reject rows of another table in responses of the store

Callers: none seen. Rows name their table, but a response was taken for that to the read whatever they name, so that a response to an earlier read would have been applied to another table.

Such a read fails, and the connections are closed, since all later responses on one may be those of earlier reads as well. The new case of the test fails before.

--- a/src/hibiscushaven/platform/store.py
+++ b/src/hibiscushaven/platform/store.py
@@ -165,8 +165,7 @@
         return tuple(_decode_vms(rows))
 
     async def close(self) -> None:
-        if self._session is not None:
-            await self._session.close()
+        await self._close_session()
 
     async def _refresh(self, copy: _TableCopy) -> None:
         if copy.version:
@@ -271,7 +270,11 @@
                     raise _ChangesUnknownError(f"{path}: change history expired")
                 if response.status != 200:
                     raise StoreError(f"{path}: status {response.status}")
-                return parse_json(content), self._accept_era(response.headers.get(_ERA_HEADER))
+                parsed = parse_json(content)
+            if _names_other_table(parsed, query.get("Table")):
+                await self._close_session()
+                raise StoreError(f"{path}: rows of another table than {query['Table']!r}")
+            return parsed, self._accept_era(response.headers.get(_ERA_HEADER))
         except (aiohttp.ClientError, OSError, ValueError, DecodeError) as error:
             # TimeoutError is an OSError.
             raise StoreError(f"{path}: {describe(error)}") from error
@@ -296,6 +299,12 @@
         self._era = era
         return era
 
+    async def _close_session(self) -> None:
+        """Close all connections; those of calls in progress as well, which fail."""
+        session, self._session = self._session, None
+        if session is not None:
+            await session.close()
+
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             connector = aiohttp.TCPConnector(limit=4, socket_factory=_keepalive_socket)
@@ -359,6 +368,14 @@
         return known
 
 
+def _names_other_table(body: Any, table: str | None) -> bool:
+    """Return whether a response has rows of another table, so that it is that of another read."""
+    rows = body.get("Rows") if table and isinstance(body, Mapping) else None
+    if not isinstance(rows, list):
+        return False
+    return any(isinstance(row, Mapping) and row.get("Table", table) != table for row in rows)
+
+
 def _of_empty_part(rows: Any) -> Iterator[Mapping[str, Any]]:
     """Return the rows of the empty part, since a feed has those of all parts of its table.
 
--- a/src/hibiscushaven/platform/tests/store_standin.py
+++ b/src/hibiscushaven/platform/tests/store_standin.py
@@ -22,6 +22,7 @@
     LATE_WRITE = auto()
     HISTORY_GONE = auto()
     MALFORMED = auto()
+    OTHER_TABLE = auto()
 
 
 @dataclass(frozen=True)
@@ -149,6 +150,9 @@
             return web.Response()
         if fault is Fault.MALFORMED:
             return web.Response(body=b'{"Rows": [7]}')
+        if fault is Fault.OTHER_TABLE:
+            row = self._encode_row("other", "s9", b"{}", self.version)
+            return self._respond({"Rows": [row], "HasMore": False})
         response = await getattr(self, "_" + call.replace("-", "_"))(request)
         if fault is Fault.LOST_RESPONSE:
             request.transport.abort()
--- a/src/hibiscushaven/platform/tests/test_store.py
+++ b/src/hibiscushaven/platform/tests/test_store.py
@@ -228,7 +228,9 @@
     run(scenario)
 
 
-@pytest.mark.parametrize("fault", [Fault.BUSY, Fault.DOWN, Fault.RESET, Fault.MALFORMED])
+@pytest.mark.parametrize(
+    "fault", [Fault.BUSY, Fault.DOWN, Fault.RESET, Fault.MALFORMED, Fault.OTHER_TABLE]
+)
 def test_read_after_a_failed_one_returns_all_changes(fault):
     """Guards against changes that are lost with a failed response."""
 
