--- a/src/hibiscushaven/gateway/server_exclusions.py
+++ b/src/hibiscushaven/gateway/server_exclusions.py
@@ -72,7 +72,7 @@
             )
 
     def step(self, now: float) -> None:
-        """Report now and then which servers get requests again, and how many get none."""
+        """Report which servers get requests again, and how many get none, once an interval."""
         if now - self._reported_at < REPORT_INTERVAL_S:
             return
         self._reported_at = now
