Ignore hangups until the gateway can reload its settings

Callers: a VM whose settings change right after its start, with a hangup, ended and served nobody until it was started again.

The handler was installed after the imports and the start; until then the default action ends the process.

The command ignores hangups from its beginning, and the settings are read once more when the handler is in place, since a change may have been signalled meanwhile. Hangups in the first hundredths of a second, while the interpreter starts, still end the process.

--- a/src/hibiscushaven/commands/gateway.py
+++ b/src/hibiscushaven/commands/gateway.py
@@ -1,6 +1,7 @@
 """The ``gateway`` command, which runs the gateway of an entry VM on the users' platform."""
 
 import asyncio
+import signal
 
 import click
 
@@ -29,6 +30,9 @@
 
     Exit code 2 means that the settings are invalid, 1 that an address cannot be used.
     """
+    if not check:
+        # A change that is signalled during the start is read below, or later by the gateway.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # Imported here so that listing the commands stays fast.
     from hibiscushaven.gateway.settings import load_gateway_settings
 
--- a/src/hibiscushaven/commands/tests/test_gateway_commands.py
+++ b/src/hibiscushaven/commands/tests/test_gateway_commands.py
@@ -1,10 +1,13 @@
 """Tests of the ``gateway`` and ``explain`` commands."""
 
 import json
+import signal
 
 from click.testing import CliRunner
 
 from hibiscushaven.commands import main
+from hibiscushaven.gateway import settings
+from hibiscushaven.gateway.settings import load_gateway_settings
 from hibiscushaven.gateway.tests.test_settings import VALID_SETTINGS
 
 
@@ -12,6 +15,23 @@
     return CliRunner().invoke(main, arguments)
 
 
+def test_gateway_ignores_hangups_until_it_has_read_its_settings(tmp_path, monkeypatch):
+    """Guards against a process that ends since its settings change during its start."""
+    dispositions = []
+
+    def load(path):
+        dispositions.append(signal.getsignal(signal.SIGHUP))
+        return load_gateway_settings(path)
+
+    monkeypatch.setattr(settings, "load_gateway_settings", load)
+    previous = signal.getsignal(signal.SIGHUP)
+    try:
+        run("gateway", "--settings", str(tmp_path / "missing.ini"))
+    finally:
+        signal.signal(signal.SIGHUP, previous)
+    assert dispositions == [signal.SIG_IGN]
+
+
 def test_help_lists_every_command():
     """Guards against a command that is missing from the help."""
     output = run("--help").output
--- a/src/hibiscushaven/platform/program.py
+++ b/src/hibiscushaven/platform/program.py
@@ -45,6 +45,8 @@
     watch = SettingsWatch(path, settings, apply_settings)
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, watch.reload)
     await daemon.start()
+    # The file may have changed since it was read, and the signal was ignored until now.
+    watch.reload()
     watching = spawn("settings", keep_running("watch of the settings", watch.run))
     # Objects allocated at the start live as long as the process; later collections skip them.
     gc.collect()
--- a/tests/processes/gateways.py
+++ b/tests/processes/gateways.py
@@ -130,7 +130,8 @@
             self._logs.show()
         await self._session.close()
         for process in self._processes.values():
-            process.send_signal(signal.SIGKILL)
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(signal.SIGKILL)
         for process in self._processes.values():
             await process.wait()
         for server in self.servers:
