Follow the renewal interval in the settings when servers come back with a copy

The time for which a server that a restored store lists again gets no requests was worked out from the default interval of renewals, whatever record_renewal says. With a longer interval the server would be used again before its record could expire. Found on reading.

--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -188,7 +188,9 @@
         self.rate_limit_exchange = RateLimitExchange(
             self.picker.rate_limits, self.view, clock, self._send_datagram
         )
-        self._exclusions = ServerExclusions(self.picker.notices, self.registry, metrics)
+        self._exclusions = ServerExclusions(
+            self.picker.notices, self.registry, metrics, options.renewal_interval_s
+        )
         self.leaving_exchange = LeavingExchange(
             self.picker.notices, self._exclusions, self.view, clock, self._send_datagram
         )
--- a/src/hibiscushaven/gateway/removed_servers.py
+++ b/src/hibiscushaven/gateway/removed_servers.py
@@ -4,15 +4,11 @@
 
 from hibiscushaven.discovery import EXPIRY_GRACE_S, RENEWAL_INTERVAL_S
 
-__all__ = ["RETURN_DELAY_S", "RemovedServers"]
+__all__ = ["RemovedServers"]
 
 # Renewals that a server misses before its record expires.
 MISSED_RENEWALS = 3
 
-# Time after a restore in which a record that came back with the copy expires, unless its server
-# runs and renews it.
-RETURN_DELAY_S = MISSED_RENEWALS * RENEWAL_INTERVAL_S + EXPIRY_GRACE_S
-
 # Time for which a removal is remembered; the copy that a store is restored from is younger.
 MEMORY_S = 60.0
 
@@ -25,7 +21,11 @@
 
     A store that comes back from a copy lists the servers that were removed since the copy, until
     their records expire. They must get no requests meanwhile. A server that had only lost contact
-    with the store keeps its record, and is used again after ``RETURN_DELAY_S``.
+    with the store keeps its record, and is used again after ``return_delay_s``.
+
+    :param renewal_interval_s: interval at which backend servers renew their records.
+    :ivar return_delay_s: time after a restore in which a record that came back with the copy
+        expires, unless its server runs and renews it.
 
     Examples
     ========
@@ -42,7 +42,8 @@
 
     """
 
-    def __init__(self) -> None:
+    def __init__(self, renewal_interval_s: float = RENEWAL_INTERVAL_S) -> None:
+        self.return_delay_s = MISSED_RENEWALS * renewal_interval_s + EXPIRY_GRACE_S
         self._era = 0
         self._listed: frozenset[str] = frozenset()
         self._removed_at: dict[str, float] = {}
--- a/src/hibiscushaven/gateway/server_exclusions.py
+++ b/src/hibiscushaven/gateway/server_exclusions.py
@@ -9,7 +9,7 @@
 from hibiscushaven.metrics import Metrics
 from hibiscushaven.placement import ServerNotice, ServerNotices
 
-from .removed_servers import RETURN_DELAY_S, RemovedServers
+from .removed_servers import RemovedServers
 
 __all__ = ["REPORT_INTERVAL_S", "ExclusionReason", "ServerExclusions"]
 
@@ -37,14 +37,21 @@
     although its record does not (``LEAVING``), or for a time, since it asked for a pause or its
     record came back with a copy of the store (``PAUSE``).
 
+    :param renewal_interval_s: interval at which backend servers renew their records.
     :ivar reasons: why each excluded process gets no requests, as of the latest report.
     """
 
-    def __init__(self, notices: ServerNotices, registry: Registry, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        notices: ServerNotices,
+        registry: Registry,
+        metrics: Metrics,
+        renewal_interval_s: float,
+    ) -> None:
         self._notices = notices
         self._registry = registry
         self._metrics = metrics
-        self._removed_servers = RemovedServers()
+        self._removed_servers = RemovedServers(renewal_interval_s)
         self._excluded_at: dict[str, float] = {}
         self._reported_at = float("-inf")
         self.reasons: dict[str, ExclusionReason] = {}
@@ -62,13 +69,14 @@
                 self._notices.record(now, record.process_id, ServerNotice(is_leaving=True))
         era = era_of(self._registry.version)
         process_ids = {record.process_id for record in records}
+        pause_s = self._removed_servers.return_delay_s
         returned = self._removed_servers.on_listing(now, era, process_ids)
         for process_id in returned:
-            self._notices.record(now, process_id, ServerNotice(pause_s=RETURN_DELAY_S))
+            self._notices.record(now, process_id, ServerNotice(pause_s=pause_s))
         if returned:
             _LOG.warning(
                 "restored store lists removed servers, which get no requests for now",
-                extra={"era": era, "servers": sorted(returned), "pause_s": RETURN_DELAY_S},
+                extra={"era": era, "servers": sorted(returned), "pause_s": pause_s},
             )
 
     def step(self, now: float) -> None:
--- a/src/hibiscushaven/gateway/tests/test_restored_store.py
+++ b/src/hibiscushaven/gateway/tests/test_restored_store.py
@@ -6,11 +6,11 @@
 
 import pytest
 
-from hibiscushaven.discovery import EXPIRY_GRACE_S
+from hibiscushaven.discovery import EXPIRY_GRACE_S, RENEWAL_INTERVAL_S
 from hibiscushaven.eras import era_of, version_of
 from hibiscushaven.gateway import ServerListing
 from hibiscushaven.gateway.node import REGISTER_SPREAD_S
-from hibiscushaven.gateway.removed_servers import RETURN_DELAY_S
+from hibiscushaven.gateway.removed_servers import MISSED_RENEWALS
 from hibiscushaven.process.tests.support import VirtualClock
 
 from .simulated_region import SimulatedRegion
@@ -115,7 +115,9 @@
         node._on_listing(ServerListing(COPY, both), 0.5)
         node._adopt_operator(make_operator(COPY, 3), "store")
         assert excluded_servers(node) == (set() if is_registered_again else {"s2"})
-        clock.time += RETURN_DELAY_S
+        clock.time += MISSED_RENEWALS * RENEWAL_INTERVAL_S
+        assert excluded_servers(node) == (set() if is_registered_again else {"s2"})
+        clock.time += EXPIRY_GRACE_S
         assert excluded_servers(node) == set()
 
     run_in_loop(scenario)
