Open no connections to the store after its client was closed

Since rows of another table end the connections, closing the client forgot its session as well, so that a call after the close would have opened connections that nothing closes. The example of removed servers shows that the renewal interval counts.

--- a/src/hibiscushaven/gateway/removed_servers.py
+++ b/src/hibiscushaven/gateway/removed_servers.py
@@ -39,6 +39,8 @@
     frozenset({'s2/7'})
     >>> removed.on_listing(14.0, 3, {"s1/7", "s2/7"})
     frozenset({'s2/7'})
+    >>> RemovedServers(renewal_interval_s=4.0).return_delay_s
+    14.0
 
     """
 
--- a/src/hibiscushaven/platform/store.py
+++ b/src/hibiscushaven/platform/store.py
@@ -165,7 +165,8 @@
         return tuple(_decode_vms(rows))
 
     async def close(self) -> None:
-        await self._close_session()
+        if self._session is not None:
+            await self._session.close()
 
     async def _refresh(self, copy: _TableCopy) -> None:
         if copy.version:
@@ -272,7 +273,7 @@
                     raise StoreError(f"{path}: status {response.status}")
                 parsed = parse_json(content)
             if _names_other_table(parsed, query.get("Table")):
-                await self._close_session()
+                await self._close_connections()
                 raise StoreError(f"{path}: rows of another table than {query['Table']!r}")
             return parsed, self._accept_era(response.headers.get(_ERA_HEADER))
         except (aiohttp.ClientError, OSError, ValueError, DecodeError) as error:
@@ -299,8 +300,8 @@
         self._era = era
         return era
 
-    async def _close_session(self) -> None:
-        """Close all connections; those of calls in progress as well, which fail."""
+    async def _close_connections(self) -> None:
+        """Close all connections, so that calls in progress fail; later calls open new ones."""
         session, self._session = self._session, None
         if session is not None:
             await session.close()
