--- a/tests/processes/gateways.py
+++ b/tests/processes/gateways.py
@@ -64,13 +64,14 @@
                     self._on_crash()
                     self.close()
                     break
-                writer.write(_response(header(head, "Request-Id")))
+                writer.write(sound_response(header(head, "Request-Id")))
                 await writer.drain()
         self._writers.discard(writer)
         writer.close()
 
 
-def _response(request_id):
+def sound_response(request_id):
+    """Return the bytes of a whole response to a request."""
     lines = (
         "HTTP/1.1 200 OK",
         f"Request-Id: {request_id}",
--- a/tests/processes/random_restores.py
+++ b/tests/processes/random_restores.py
@@ -22,7 +22,7 @@
 from hibiscushaven.platform.tests.samples import configuration_row, route_item, server_row
 from hibiscushaven.platform.tests.store_standin import Fault
 
-from .gateways import Gateways
+from .gateways import Gateways, sound_response
 
 CALLERS = 24
 SERVERS = 5
@@ -100,8 +100,7 @@
                 request_id = header(head, "Request-Id")
                 self.arrivals.append((asyncio.get_running_loop().time(), request_id))
                 await asyncio.sleep(0.02)
-                head = f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nResponse-Seal: 1\r\n"
-                writer.write(f"{head}Content-Length: 2\r\n\r\nok".encode())
+                writer.write(sound_response(request_id))
         self._writers.discard(writer)
         writer.close()
 
