--- a/review/standins-2/server.py
+++ b/review/standins-2/server.py
@@ -51,7 +51,7 @@
 
     async def _serve(self, reader, writer):
         self._writers.add(writer)
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
                 await reader.readexactly(int(header(head, "Content-Length") or 0))
