Let the gateway know the memory and descriptors of its process

A gateway has no notion of the memory and the descriptors that its machine gives it. `hibiscushaven gateway` takes them as `--memory-mb` and `--max-descriptors`, by default those of the machine and of the system. The platform sets them by environment variables. Nothing depends on them yet.

Processes that clients keep busy beyond such limits are tested apart from all others (marker `alone`).

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,8 @@
 	PATH="$(CURDIR)/$(BIN):$$PATH" scripts/demo.sh $(DEMO_ARGS)
 
 test: $(STAMP)
-	$(BIN)/python -m pytest --numprocesses $(TEST_JOBS) --dist worksteal $(TEST_ARGS)
+	$(BIN)/python -m pytest --numprocesses $(TEST_JOBS) --dist worksteal -m "not alone" $(TEST_ARGS)
+	$(BIN)/python -m pytest -m alone $(TEST_ALONE_ARGS)
 
 bench: $(STAMP)
 	scripts/bench_sockets.sh $(BIN)/python $(BENCH_REQUESTS) > $(VENV)/sockets.json
--- a/src/hibiscushaven/commands/gateway.py
+++ b/src/hibiscushaven/commands/gateway.py
@@ -21,8 +21,20 @@
     type=click.Path(dir_okay=False),
     help="Settings file of the VM.",
 )
+@click.option(
+    "--memory-mb",
+    type=click.FloatRange(min=1),
+    envvar="HIBISCUSHAVEN_MEMORY_MB",
+    help="Memory of the process in MB; by default that of the machine.",
+)
+@click.option(
+    "--max-descriptors",
+    type=click.IntRange(min=1),
+    envvar="HIBISCUSHAVEN_MAX_DESCRIPTORS",
+    help="Descriptors of the process; by default as many as the system allows.",
+)
 @click.option("--check", is_flag=True, help="Check the settings and exit.")
-def gateway(path: str, check: bool) -> None:
+def gateway(path: str, memory_mb: float | None, max_descriptors: int | None, check: bool) -> None:
     """Run the gateway of an entry VM until SIGTERM.
 
     Backend servers and the operator state are read from the platform's store. On SIGTERM the VM
@@ -43,6 +55,7 @@
         click.echo(f"{path}: ok")
         return
     from hibiscushaven.platform.program import run_gateway
+    from hibiscushaven.process import MachineLimits
 
     with exit_on_os_error():
-        asyncio.run(run_gateway(result.ok, path))
+        asyncio.run(run_gateway(result.ok, path, MachineLimits.detect(memory_mb, max_descriptors)))
--- a/src/hibiscushaven/gateway/daemon.py
+++ b/src/hibiscushaven/gateway/daemon.py
@@ -26,7 +26,7 @@
 from hibiscushaven.ini.fields import Endpoint
 from hibiscushaven.metrics import Metrics
 from hibiscushaven.metrics.exposition import to_text
-from hibiscushaven.process import Clock, ConnectionLimits, HttpServer, spawn
+from hibiscushaven.process import Clock, ConnectionLimits, HttpServer, MachineLimits, spawn
 from hibiscushaven.routing import CallerLimits, OperatorState
 
 from .directory import choose_addresses
@@ -108,6 +108,7 @@
     :param backends: format of requests to backend servers.
     :param notice_reader: reads what backend servers say about themselves.
     :param directory: format of the directory.
+    :param machine: memory and descriptors of the process; by default those of the machine.
     """
 
     def __init__(
@@ -119,7 +120,9 @@
         notice_reader: NoticeReader,
         directory: DirectoryDialect,
         clock: Clock,
+        machine: MachineLimits | None = None,
     ) -> None:
+        self._machine = machine or MachineLimits.detect()
         self._options = options
         self._store = store
         self._directory = directory
--- a/src/hibiscushaven/platform/program.py
+++ b/src/hibiscushaven/platform/program.py
@@ -9,7 +9,7 @@
 from hibiscushaven.gateway.settings import GatewaySettings
 from hibiscushaven.gateway.settings_watch import SettingsWatch
 from hibiscushaven.logs import BoundedHandler, configure_logging
-from hibiscushaven.process import SystemClock, keep_running, on_stop, spawn
+from hibiscushaven.process import MachineLimits, SystemClock, keep_running, on_stop, spawn
 
 from .dialects import PlatformBackends, PlatformCallers, PlatformDirectory
 from .store import StoreClient
@@ -17,10 +17,11 @@
 __all__ = ["run_gateway"]
 
 
-async def run_gateway(settings: GatewaySettings, path: str) -> None:
+async def run_gateway(settings: GatewaySettings, path: str, machine: MachineLimits) -> None:
     """Run the gateway until SIGTERM.
 
     :param path: path of the settings file, which is reloaded when it changes and on SIGHUP.
+    :param machine: memory and descriptors of the process.
     """
     handler = BoundedHandler(lines_per_s=settings.log_lines_per_s)
     configure_logging(settings.log_level, "json", settings.options.name, handler)
@@ -33,6 +34,7 @@
         backends,
         PlatformDirectory(),
         SystemClock(),
+        machine,
     )
     stopping = asyncio.Event()
     on_stop(stopping.set)
--- a/src/hibiscushaven/process/__init__.py
+++ b/src/hibiscushaven/process/__init__.py
@@ -3,6 +3,7 @@
 from .background import keep_running, spawn
 from .caller_protocol import ConnectionLimits
 from .clock import Clock, SystemClock
+from .machine import MachineLimits
 from .pauses import PauseDetector
 from .server import HttpServer
 from .signals import on_stop
@@ -12,6 +13,7 @@
     "Clock",
     "ConnectionLimits",
     "HttpServer",
+    "MachineLimits",
     "PauseDetector",
     "SystemClock",
     "keep_running",
--- /dev/null
+++ b/tests/processes/crowds.py
@@ -0,0 +1,202 @@
+"""Clients that exhaust the memory or the descriptors of a process that accounts for neither."""
+
+import asyncio
+import contextlib
+import socket
+import struct
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+from hibiscushaven.platform.tests.backend_standin import header
+from hibiscushaven.platform.tests.samples import server_row
+
+CALLERS, READINESS, DIRECTORY, STATUS, METRICS = 8001, 8002, 8003, 8004, 8005
+PULLS, RELAYS = 7540, 7541
+
+# Limits of callers in the configuration.
+LIMITS = {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1_000_000}
+
+LONG_PATH = "/x/long"
+LONG_RESPONSE_BYTES = 900_000
+
+# Requests by which a process reads what the crowd has sent before them.
+SETTLING_REQUESTS = 20
+
+_HEAD = b"POST /x/1 HTTP/1.1\r\nHost: a.example\r\nDeadline-Ms: 60000\r\n"
+_CHUNKED = _HEAD + b"Transfer-Encoding: chunked\r\n"
+_OFFER = b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAMA\r\n"
+_SHORT_FIELDS = b"a:\r\n" * 100_000
+
+# Small segments keep the buffers of the kernel small, so that the process holds what is unread.
+_SEGMENT_BYTES = 536
+_RECEIVE_BUFFER_BYTES = 4096
+
+
+@dataclass(frozen=True)
+class Crowd:
+    """Clients of one kind.
+
+    :ivar clients: number of connections.
+    :ivar data: what each client sends; it then keeps its connection open.
+    :ivar ports: ports to which the clients connect in turn.
+    :ivar reads_start: whether each client waits for the start of a response, and reads no more.
+    """
+
+    clients: int
+    data: bytes
+    ports: tuple[int, ...] = (CALLERS,)
+    reads_start: bool = False
+
+
+CROWDS: dict[str, Callable[[], Crowd]] = {}
+
+
+def crowd(make):
+    """Register the function that makes a crowd under its name."""
+    CROWDS[make.__name__] = make
+    return make
+
+
+@crowd
+def trailers_without_end():
+    return Crowd(20, _CHUNKED + b"\r\n2\r\nab\r\n0\r\n" + _SHORT_FIELDS)
+
+
+@crowd
+def trailers_behind_an_offer():
+    return Crowd(20, _CHUNKED + _OFFER + b"\r\n2\r\nab\r\n0\r\n" + _SHORT_FIELDS)
+
+
+@crowd
+def heads_without_end_at_the_other_ports():
+    ports = (DIRECTORY, READINESS, STATUS, METRICS, RELAYS)
+    return Crowd(25, b"GET / HTTP/1.1\r\nHost: a.example\r\n" + _SHORT_FIELDS, ports)
+
+
+@crowd
+def trailers_at_the_relay_port():
+    return Crowd(20, _CHUNKED + b"\r\n2\r\nab\r\n0\r\n" + _SHORT_FIELDS, (RELAYS,))
+
+
+@crowd
+def pipelined_requests():
+    return Crowd(40, 3000 * b"GET /x/1 HTTP/1.1\r\nHost: a.example\r\n\r\n")
+
+
+@crowd
+def whole_bodies_that_stop_short():
+    return Crowd(130, _HEAD + b"Content-Length: 900000\r\n\r\n" + b"x" * 899_999)
+
+
+@crowd
+def bodies_in_pieces_that_stop_short():
+    return Crowd(130, _CHUNKED + b"\r\n" + 900 * (b"3e8\r\n" + b"x" * 1000 + b"\r\n"))
+
+
+@crowd
+def bodies_that_stop_short_at_the_relay_port():
+    return Crowd(130, _HEAD + b"Content-Length: 900000\r\n\r\n" + b"x" * 899_999, (RELAYS,))
+
+
+@crowd
+def heads_of_short_lines():
+    fields = b"".join(b"%02x:\r\n" % (number % 256) for number in range(2600))
+    return Crowd(300, _HEAD + b"Content-Length: 10\r\n" + fields + b"\r\n")
+
+
+@crowd
+def unread_responses():
+    head = f"GET {LONG_PATH} HTTP/1.1\r\nHost: a.example\r\nRequest-Id: long\r\n"
+    return Crowd(150, head.encode() + b"Deadline-Ms: 60000\r\n\r\n", reads_start=True)
+
+
+@crowd
+def unfinished_messages_to_the_vm():
+    length = 8 * 1024 * 1024 - 100
+    return Crowd(30, b"\xc6" + struct.pack(">I", length) + bytes(4 * 1024 * 1024), (PULLS,))
+
+
+class BodyServer:
+    """Backend server that reads whole requests.
+
+    :ivar requests: heads and lengths of the bodies of the requests.
+    """
+
+    def __init__(self, name, host, store):
+        self._name, self._host, self._store = name, host, store
+        self._writers = set()
+        self.requests = []
+
+    async def start(self):
+        """Listen and register."""
+        self._server = await asyncio.start_server(self._serve, self._host, 9000)
+        self._store.put("servers", self._name, server_row(address=f"{self._host}:9000"))
+
+    def close(self):
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
+    async def _serve(self, reader, writer):
+        self._writers.add(writer)
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                body = await reader.readexactly(int(header(head, "Content-Length") or 0))
+                self.requests.append((head, len(body)))
+                length = LONG_RESPONSE_BYTES if f" {LONG_PATH} " in head else 2
+                fields = f"Request-Id: {header(head, 'Request-Id')}\r\nResponse-Seal: 1\r\n"
+                if header(head, "Request-Id") is None:
+                    fields = "Response-Seal: 1\r\n"
+                lines = f"HTTP/1.1 200 OK\r\n{fields}Content-Length: {length}\r\n\r\n"
+                writer.write(lines.encode() + b"o" * length)
+                await writer.drain()
+        self._writers.discard(writer)
+        writer.close()
+
+
+class CrowdClients:
+    """Connections of a crowd to one VM, which stay open."""
+
+    def __init__(self, host):
+        self._host = host
+        self._sockets = []
+
+    def close(self):
+        for item in self._sockets:
+            item.close()
+
+    async def send(self, made):
+        """Let all clients of a crowd send what they have, or until the VM closes."""
+        if made.reads_start:
+            for number in range(made.clients):
+                await self._run_client(made, number)
+            return
+        await asyncio.gather(*(self._run_client(made, number) for number in range(made.clients)))
+
+    async def _run_client(self, made, number):
+        loop = asyncio.get_running_loop()
+        item = socket.socket()
+        item.setblocking(False)
+        self._sockets.append(item)
+        if made.reads_start:
+            item.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, _SEGMENT_BYTES)
+            item.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES)
+        with contextlib.suppress(ConnectionError):
+            await loop.sock_connect(item, (self._host, made.ports[number % len(made.ports)]))
+            await loop.sock_sendall(item, made.data)
+            if made.reads_start:
+                await loop.sock_recv(item, 64)
+
+
+def peak_memory_bytes(process_id):
+    """Return the largest resident memory that a process has had."""
+    status = Path(f"/proc/{process_id}/status").read_text()
+    line = next(line for line in status.splitlines() if line.startswith("VmHWM:"))
+    return int(line.split()[1]) * 1024
+
+
+def open_descriptors(process_id):
+    """Return the number of descriptors that a process has open."""
+    return len(list(Path(f"/proc/{process_id}/fd").iterdir()))
--- a/tests/processes/gateways.py
+++ b/tests/processes/gateways.py
@@ -26,6 +26,8 @@
 callers = {host}:8001
 readiness = {host}:8002
 directory = {host}:8003
+status = {host}:8004
+metrics_port = 8005
 peer_port = 7540
 [store]
 address = 127.0.0.1:{store_port}
@@ -88,12 +90,16 @@
     :param make_server: makes a server from its name, its host and the store; by default one that a
         request can crash.
     :param route: fields of the route that differ from the usual ones.
+    :param limits: limits of callers that differ from the usual ones.
+    :param arguments: further arguments of the command.
     :ivar store: the store, which the test's own process serves.
     :ivar servers: the backend servers.
     :ivar crashes: number of servers that the crashing request has ended.
     """
 
-    def __init__(self, directory, vms, servers, make_server=None, route=None):
+    def __init__(
+        self, directory, vms, servers, make_server=None, route=None, limits=None, arguments=()
+    ):
         self._directory = directory
         self._logs = ProcessLogs(directory)
         self.network = f"127.{random.randint(100, 250)}.{random.randint(1, 250)}"
@@ -104,6 +110,8 @@
             lambda *arguments: CrashableServer(*arguments, self._count_crash)
         )
         self._route = {"Timeout": "5000ms", "MaxAttempts": 3, **(route or {})}
+        self._limits = limits or {}
+        self._arguments = arguments
         self._processes = {}
         self.servers = []
         self._numbers = iter(range(10**6))
@@ -115,7 +123,9 @@
 
     async def __aenter__(self):
         self._store_port = await self.store.start()
-        self.store.put("op", "config", configuration_row(7, [route_item(**self._route)]))
+        configuration = configuration_row(7, [route_item(**self._route)])
+        configuration["Resources"][-1]["Spec"].update(self._limits)
+        self.store.put("op", "config", configuration)
         for number in range(self._server_count):
             host = f"{self.network}.{200 + number}"
             server = self._make_server(f"i-{number}", host, self.store)
@@ -149,9 +159,17 @@
         await self._processes[vm].wait()
         await self._start_vm(vm)
 
+    def process_id(self, vm):
+        """Return the id of the process of a VM."""
+        return self._processes[vm].pid
+
+    def is_running(self, vm):
+        """Return whether the process of a VM has not ended."""
+        return self._processes[vm].returncode is None
+
     def url(self, vm):
         """Return the URL at which a VM serves callers."""
-        return f"http://{self._host(vm)}:8001"
+        return f"http://{self.host(vm)}:8001"
 
     async def request(self, vm, path):
         """Send a request to a VM; return the status of its response."""
@@ -178,12 +196,15 @@
 
     async def _start_vm(self, vm):
         path = self._directory / f"vm-{vm}.ini"
-        name, host = f"vm-{vm}", self._host(vm)
+        name, host = f"vm-{vm}", self.host(vm)
         path.write_text(SETTINGS.format(name=name, host=host, store_port=self._store_port))
-        self._processes[vm] = await self._logs.start(name, "gateway", "--settings", path)
+        self._processes[vm] = await self._logs.start(
+            name, "gateway", "--settings", path, *self._arguments
+        )
 
     def _count_crash(self):
         self.crashes += 1
 
-    def _host(self, vm):
+    def host(self, vm):
+        """Return the address of a VM."""
         return f"{self.network}.{vm + 1}"
--- /dev/null
+++ b/tests/processes/test_crowds.py
@@ -0,0 +1,83 @@
+"""Clients that don't keep to the protocol, or to what a process can hold, beside ordinary callers.
+
+Each test runs a process with lowered limits, alone on the machine.
+"""
+
+import asyncio
+import resource
+
+import pytest
+
+from .crowds import (
+    CALLERS,
+    CROWDS,
+    DIRECTORY,
+    LIMITS,
+    PULLS,
+    READINESS,
+    RELAYS,
+    SETTLING_REQUESTS,
+    BodyServer,
+    Crowd,
+    CrowdClients,
+    open_descriptors,
+    peak_memory_bytes,
+)
+from .deployment import TEST_TIMEOUT_S
+from .gateways import Gateways
+
+MEMORY_MB = 128
+MAX_DESCRIPTORS = 300
+ROUTE = {"Timeout": "60000ms", "Kind": "safe", "MaxAttempts": 1}
+
+pytestmark = pytest.mark.alone
+
+
+def run(scenario, directory, max_descriptors=None):
+    """Run a scenario on one process with a backend server."""
+    arguments = ["--memory-mb", str(MEMORY_MB)]
+    if max_descriptors is not None:
+        arguments += ["--max-descriptors", str(max_descriptors)]
+
+    async def main():
+        gateways = Gateways(directory, 1, 1, BodyServer, ROUTE, LIMITS, arguments)
+        async with asyncio.timeout(TEST_TIMEOUT_S), gateways:
+            await gateways.wait_until_served("/x/1")
+            clients = CrowdClients(gateways.host(0))
+            try:
+                await scenario(gateways, clients)
+            finally:
+                clients.close()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("name", CROWDS)
+def test_memory_stays_within_that_of_the_machine(name, tmp_path):
+    """Guards against clients that end a process by what it holds for them."""
+
+    async def scenario(gateways, clients):
+        await clients.send(CROWDS[name]())
+        statuses = [await gateways.request(0, "/x/1") for _ in range(SETTLING_REQUESTS)]
+        assert gateways.is_running(0)
+        assert peak_memory_bytes(gateways.process_id(0)) < MEMORY_MB * 1024 * 1024
+        assert statuses[-1] == 200
+
+    run(scenario, tmp_path)
+
+
+@pytest.mark.parametrize("port", [CALLERS, DIRECTORY, READINESS, RELAYS, PULLS])
+def test_silent_connections_leave_descriptors_for_others(port, tmp_path):
+    """Guards against clients that take all descriptors and send nothing."""
+
+    async def scenario(gateways, clients):
+        process_id = gateways.process_id(0)
+        _, hard_limit = resource.prlimit(process_id, resource.RLIMIT_NOFILE)
+        resource.prlimit(process_id, resource.RLIMIT_NOFILE, (MAX_DESCRIPTORS, hard_limit))
+        await clients.send(Crowd(400, b"", (port,)))
+        statuses = [await gateways.request(0, "/x/1") for _ in range(SETTLING_REQUESTS)]
+        assert gateways.is_running(0)
+        assert open_descriptors(process_id) < MAX_DESCRIPTORS
+        assert statuses[-1] == 200
+
+    run(scenario, tmp_path, MAX_DESCRIPTORS)
