Bound trailers, and keep them out of the header fields

Clients that sent trailers without end behind a chunked body ended a process: 100 of them took 3.3 GB in seconds, and nobody got a response. A trailer also reached the backend server as a field of the head.

The parser reports a trailer like a header field. The protocol stored it with those of the head, and counted bytes only until the head was complete. Each piece started the idle timer of the body again, so nothing ended the request.

Trailers are now discarded, as RFC 9110 (section 6.5.1) allows, and a request whose trailers exceed the limit of a head is rejected with status 431. This holds for both parsers, since both report to the same protocol.

A field counts with its colon and line break only. The space was counted too, so that a legal head of short lines, which have none, was refused.

The eight new cases of test_caller_protocol.py fail without the change.

--- a/src/hibiscushaven/process/caller_protocol.py
+++ b/src/hibiscushaven/process/caller_protocol.py
@@ -15,8 +15,8 @@
 # Closing a connection with unread bytes resets it, which can lose the response.
 LINGER_S = 1.0
 
-# Colon and space between the name and value of a header field, and the line break after it.
-_FIELD_OVERHEAD_BYTES = 4
+# Colon behind the name of a header field, and the line break after its value.
+_FIELD_OVERHEAD_BYTES = 3
 
 _REASON_PHRASES = {
     408: b"Request Timeout",
@@ -46,11 +46,14 @@
 
     The response to a request that is in progress precedes the one to bytes that are no request,
     since callers take each response for that to their earliest request without one.
+
+    Trailers are no header fields: what a request is and who sent it is decided by its head.
     """
 
     def __init__(self, *args: Any, **options: Any) -> None:
         super().__init__(*args, **options)
         self.parser = RequestParser(self)
+        self._is_in_head = False
         self._is_rejected = False
         self._running_cycle: RequestResponseCycle | None = None
 
@@ -58,6 +61,18 @@
         if not self._is_rejected:
             super().data_received(data)
 
+    def on_message_begin(self) -> None:
+        self._is_in_head = True
+        super().on_message_begin()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if self._is_in_head:
+            super().on_header(name, value)
+
+    def on_headers_complete(self) -> None:
+        self._is_in_head = False
+        super().on_headers_complete()
+
     def send_400_response(self, msg: str) -> None:
         """Respond to bytes that are no request, after the response in progress if there is one."""
         cycle = self.cycle
@@ -97,9 +112,9 @@
     Explanation
     ===========
 
-    A head that is too long is rejected with status 431. A head that does not arrive in time or a
-    body that stalls is rejected with status 408. Rejected requests are not forwarded. If the
-    response to an earlier request on the connection is in progress, it is completed first.
+    A head or trailers that are too long are rejected with status 431. A head that does not arrive
+    in time or a body that stalls is rejected with status 408. Rejected requests are not forwarded.
+    If the response to an earlier request on the connection is in progress, it is completed first.
 
     The idle timeout of a connection is the one in force when its idle time began, since the
     caller cannot learn of a shorter one before the next response.
@@ -119,9 +134,8 @@
         super().__init__(*args, **options)
         self._limits = limits
         self._id_header = id_header.encode()
-        self._is_in_head = False
         self._received_bytes = 0
-        self._parsed_head_bytes = 0
+        self._parsed_bytes = 0
         self._arrival_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
@@ -152,23 +166,26 @@
             self._start_arrival_timer(remaining_s, lambda: self._reject(408))
 
     def on_message_begin(self) -> None:
-        self._is_in_head = True
         self._head_started_at = self.loop.time()
-        self._parsed_head_bytes = 0
+        self._parsed_bytes = 0
         super().on_message_begin()
 
     def on_url(self, url: bytes) -> None:
-        self._parsed_head_bytes += len(url)
+        self._parsed_bytes += len(url)
         super().on_url(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._parsed_head_bytes += len(name) + len(value) + _FIELD_OVERHEAD_BYTES
+        if self._is_rejected:
+            return
+        self._parsed_bytes += len(name) + len(value) + _FIELD_OVERHEAD_BYTES
         super().on_header(name, value)
+        if self._parsed_bytes > self._limits().max_head_bytes and not self._is_in_head:
+            self._reject(431)
 
     def on_headers_complete(self) -> None:
-        if self._parsed_head_bytes > self._limits().max_head_bytes:
+        if self._parsed_bytes > self._limits().max_head_bytes:
             self._reject(431)
-        self._is_in_head = False
+        self._parsed_bytes = 0
         if not self._is_rejected:
             super().on_headers_complete()
 
@@ -193,15 +210,10 @@
             self._arrival_timer = None
 
     def _on_body_timeout(self) -> None:
-        cycle = self.cycle
         if self.flow.read_paused:
             # No data arrives because this side has paused reading.
             self._start_arrival_timer(self._limits().idle_timeout_s, self._on_body_timeout)
-        elif cycle.response_complete:
-            self.transport.close()
-        elif not cycle.response_started:
-            cycle.disconnected = True
-            cycle.message_event.set()
+        else:
             self._reject(408)
 
     def _request_id(self) -> bytes:
@@ -212,6 +224,13 @@
     def _reject(self, status: int) -> None:
         """Respond to a request that has not arrived completely, and end the connection."""
         self._is_rejected = True
+        cycle = self.cycle
+        if not self._is_in_head and cycle.response_started:
+            # The response did not wait for the whole request.
+            cycle.keep_alive = False
+            if cycle.response_complete:
+                self.transport.close()
+            return
         request_id = self._request_id()
         self.logger.warning(
             "request of a caller refused",
@@ -221,12 +240,16 @@
                 "not_run_by": "vm",
             },
         )
-        if self._is_in_head and self.cycle is not None and not self.cycle.response_complete:
-            # The previous request is still being answered; its response closes the connection.
-            self.cycle.keep_alive = False
-            return
-        if self._drop_queued_request():
+        if self._is_in_head:
+            if cycle is not None and not cycle.response_complete:
+                # The previous request is still being answered; its response ends the connection.
+                cycle.keep_alive = False
+                return
+        elif self._drop_queued_request():
             return
+        else:
+            cycle.disconnected = True
+            cycle.message_event.set()
         id_field = b"%b: %b\r\n" % (self._id_header, request_id) if request_id else b""
         self.transport.write(
             b"HTTP/1.1 %d %b\r\n%bcontent-length: 0\r\nconnection: close\r\n\r\n"
--- a/src/hibiscushaven/process/tests/test_caller_protocol.py
+++ b/src/hibiscushaven/process/tests/test_caller_protocol.py
@@ -77,7 +77,7 @@
 
     def __init__(self):
         self.may_respond = asyncio.Event()
-        self.events, self.requests = [], []
+        self.events, self.requests, self.fields = [], [], []
 
     async def __call__(self, scope, receive, send):
         body = b""
@@ -91,6 +91,7 @@
                 break
         self.events.append("read")
         self.requests.append((scope["method"], scope["raw_path"], body))
+        self.fields.append(scope["headers"])
         await self.may_respond.wait()
         headers = [(b"content-length", b"2")]
         await send({"type": "http.response.start", "status": 200, "headers": headers})
@@ -395,3 +396,64 @@
         assert connection.app.events == ["left"] and connection.app.requests == []
 
     run_scenario(scenario)
+
+
+CHUNKED = b"POST /x/1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+
+
+@pytest.mark.parametrize("offer", [b"", OFFER])
+@pytest.mark.parametrize("size", [7, 10_000])
+def test_trailers_without_end_are_rejected(run_scenario, offer, size):
+    """Guards against trailers that are stored without a bound."""
+
+    async def scenario(connection):
+        data = CHUNKED + offer + b"\r\n2\r\nab\r\n0\r\n" + 100 * b"a:\r\n"
+        for start in range(0, len(data), size):
+            await connection.receive(data[start : start + size])
+        assert connection.written.startswith(b"HTTP/1.1 431 ")
+        assert connection.app.events == ["left"]
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("offer", [b"", OFFER])
+def test_trailers_are_no_header_fields(run_scenario, offer):
+    """Guards against trailers that are forwarded as fields of the head."""
+
+    async def scenario(connection):
+        connection.app.may_respond.set()
+        end = b"0\r\nHost: b\r\nX-Late: 1\r\n\r\n"
+        await connection.receive(CHUNKED + offer + b"\r\n2\r\nab\r\n" + end)
+        assert connection.app.requests == [("POST", b"/x/1", b"ab")]
+        names = [name for name, _ in connection.app.fields[0]]
+        assert names.count(b"host") == 1 and b"x-late" not in names
+
+    run_scenario(scenario)
+
+
+def test_trailers_of_a_queued_request_end_the_connection_after_earlier_ones(run_scenario):
+    """Guards against a rejection that a caller takes for that of a request in progress."""
+
+    async def scenario(connection):
+        await connection.receive(HEAD)
+        await connection.receive(CHUNKED + b"\r\n0\r\n" + 100 * b"a:\r\n")
+        assert connection.written == b""
+        connection.app.may_respond.set()
+        await connection.settle()
+        assert connection.written.startswith(b"HTTP/1.1 200") and b"431" not in connection.written
+        assert connection.transport.is_closed and len(connection.app.requests) == 1
+
+    run_scenario(scenario)
+
+
+def test_head_of_short_lines_counts_as_long_as_it_is(run_scenario):
+    """Guards against refusing a head within the limit whose lines have no space."""
+
+    async def scenario(connection):
+        connection.app.may_respond.set()
+        start = b"GET /x/1 HTTP/1.1\r\nHost: a\r\n"
+        fields = b"1f:\r\n" * ((connection.limits.max_head_bytes - len(start) - 2) // 5)
+        await connection.receive(start + fields + b"\r\n")
+        assert connection.written.startswith(b"HTTP/1.1 200")
+
+    run_scenario(scenario)
