Account for the memory that all connections of callers hold together

Clients that don't keep to the protocol, or to what a process can hold, ended it or took it beyond the memory of its machine: bodies of legal size that stop short, whole or in pieces, legal heads of thousands of lines, thousands of pipelined requests, responses that nobody reads, and heads and bodies without end at the ports of relays, the directory, readiness and the status.

The cause is one: nothing accounted for what the connections hold together. There was a limit on whole bodies only, for each application by itself. The other ports had no limits. A read of 256 KiB was parsed whole, each pipelined request in it with its scope and its event. A piece of a body of two bytes took some 50 in a list.

Now one `ConnectionBudget` for the process, derived from its memory, accounts for heads, trailers, bodies while they arrive, queued requests, requests in progress and responses, on all HTTP ports. What a single request may be is still limited by the configuration only. When all together hold too much:

- Connections that hold most for the longest time are evicted first.
A request that is arriving gets status 503 with its id, queued ones are dropped behind the one in progress, and a connection whose response is not read is closed.
- A complete request that has no room is rejected with 503 before it runs.
One that may have been sent to a backend server is never evicted.
- Responses are passed on as they arrive, and not held for a retry.

Bodies that are too long are rejected before they have arrived, not after (status 413 as before, now also for unknown routes). Framing without end is rejected with status 400, and blank lines do not renew the idle time. Reads are smaller, and connections whose data is expensive to parse take turns, so that tiny chunks of many clients do not occupy the event loop.

The test of the limit on bodies that this replaces expected status 413 for a request that the VM has no memory for.

--- a/src/hibiscushaven/forwarding/app.py
+++ b/src/hibiscushaven/forwarding/app.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 from starlette.types import Receive, Scope, Send
 
@@ -10,15 +11,14 @@
 from hibiscushaven.process import Clock
 
 from .forwarder import Forwarder
-from .messages import CallerDialect, CallerRequest, CallerResponse, rejection_response
+from .messages import CallerDialect, CallerRequest, CallerResponse
 
 __all__ = ["CallerApp"]
 
 _LOG = logging.getLogger(__name__)
 
-# Limit on the total size of the bodies of all requests in progress: a fraction of the memory of a
-# small VM.
-MAX_TOTAL_BODY_BYTES = 96 * 1024 * 1024
+# Memory of a response that is passed on while it arrives.
+STREAM_BYTES = 256 * 1024
 
 _BODILESS_STATUSES = frozenset({204, 304})
 
@@ -41,7 +41,6 @@
         self._forwarder = forwarder
         self._dialect = dialect
         self._now = clock.now
-        self._body_bytes = 0
         self.is_leaving = False
         self.in_progress = 0
         self.last_request_at = 0.0
@@ -60,18 +59,9 @@
 
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         received_at = self._now()
-        body = await self._read_body(receive)
-        if body is None:
-            request = self._request(scope, b"", received_at)
-            response = rejection_response("body too large", None, 413)
-            await self._write(send, request, response)
-            return
-        self._body_bytes += len(body)
-        try:
-            request = self._request(scope, body, received_at)
-            response = await _cancel_on_disconnect(self._forwarder.handle(request), receive)
-        finally:
-            self._body_bytes -= len(body)
+        body = await _read_body(receive)
+        request = self._request(scope, body, received_at)
+        response = await _cancel_on_disconnect(self._forwarder.handle(request), receive)
         await self._write(send, request, response)
 
     def _request(self, scope: Scope, body: bytes, received_at: float) -> CallerRequest:
@@ -81,22 +71,8 @@
         path = scope["raw_path"].decode("latin-1")
         query = scope["query_string"].decode("latin-1")
         target = f"{path}?{query}" if query else path
-        return self._dialect.read(headers, scope["method"], path, target, body, received_at)
-
-    async def _read_body(self, receive: Receive) -> bytes | None:
-        """Return the body, or ``None`` if the bodies in progress would exceed their limit."""
-        parts: list[bytes] = []
-        size = 0
-        while True:
-            message = await receive()
-            if message["type"] == "http.disconnect":
-                raise _CallerDisconnectedError
-            parts.append(message.get("body", b""))
-            size += len(parts[-1])
-            if self._body_bytes + size > MAX_TOTAL_BODY_BYTES:
-                return None
-            if not message.get("more_body"):
-                return b"".join(parts)
+        request = self._dialect.read(headers, scope["method"], path, target, body, received_at)
+        return replace(request, try_hold_response=_response_memory(scope))
 
     async def _write(self, send: Send, request: CallerRequest, response: CallerResponse) -> None:
         headers = [
@@ -120,6 +96,7 @@
         await send(body)
         if response.body_stream is None:
             return
+        request.try_hold_response(STREAM_BYTES)
         # A truncated body raises an exception here, so that the server closes the connection and
         # the caller sees that the response is incomplete.
         async for chunk in response.body_stream:
@@ -127,6 +104,26 @@
         await send({"type": "http.response.body", "body": b"", "more_body": False})
 
 
+async def _read_body(receive: Receive) -> bytes:
+    """Return the body.
+
+    :raises _CallerDisconnectedError: when the caller disconnects, or the body is rejected.
+    """
+    body = bytearray()
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            raise _CallerDisconnectedError
+        body += message.get("body", b"")
+        if not message.get("more_body"):
+            return bytes(body)
+
+
+def _response_memory(scope: Scope) -> Callable[[int], bool]:
+    """Return the function by which a server bounds the memory of responses, if it does."""
+    return scope.get("state", {}).get("try_hold_response", lambda size: True)
+
+
 async def _cancel_on_disconnect(
     work: Awaitable[CallerResponse], receive: Receive
 ) -> CallerResponse:
--- a/src/hibiscushaven/forwarding/bodies.py
+++ b/src/hibiscushaven/forwarding/bodies.py
@@ -1,6 +1,6 @@
 """Buffering of response bodies."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 from hibiscushaven.delivery import AttemptResponse
 
@@ -11,14 +11,17 @@
 MAX_BUFFERED_BODY_BYTES = 1024 * 1024
 
 
-async def buffer_body(head: AttemptResponse) -> tuple[bytes, AsyncIterator[bytes] | None]:
-    """Return the body if it is complete, or its beginning and a stream of the remainder."""
-    parts: list[bytes] = []
-    size = 0
+async def buffer_body(
+    head: AttemptResponse, try_hold: Callable[[int], bool]
+) -> tuple[bytes, AsyncIterator[bytes] | None]:
+    """Return the body if it is complete, or its beginning and a stream of the remainder.
+
+    :param try_hold: returns whether there is memory for a beginning of the given size.
+    """
+    body = bytearray()
     chunks = head.__aiter__()
     async for chunk in chunks:
-        parts.append(chunk)
-        size += len(chunk)
-        if size > MAX_BUFFERED_BODY_BYTES:
-            return b"".join(parts), chunks
-    return b"".join(parts), None
+        body += chunk
+        if len(body) > MAX_BUFFERED_BODY_BYTES or not try_hold(len(body)):
+            return bytes(body), chunks
+    return bytes(body), None
--- a/src/hibiscushaven/forwarding/forwarder.py
+++ b/src/hibiscushaven/forwarding/forwarder.py
@@ -384,7 +384,7 @@
             response_time_s = self._now() - started
             self._links.on_response(server_id)
             notice = self._record_notice(server, head.status, head.headers)
-            body, body_stream = await buffer_body(head)
+            body, body_stream = await buffer_body(head, context.request.try_hold_response)
             context.sent_attempts += 1
         except AttemptError as error:
             return self._on_attempt_error(context, server, error)
--- a/src/hibiscushaven/forwarding/messages.py
+++ b/src/hibiscushaven/forwarding/messages.py
@@ -1,6 +1,6 @@
 """Requests of callers and the responses to them."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -27,6 +27,8 @@
         ``None``.
     :ivar relay_id: id of its transfer by the VM that relayed it, empty if none did.
     :ivar min_configuration: oldest version of the configuration by which it may be routed.
+    :ivar try_hold_response: returns whether there is memory for the beginning of the response,
+        given its size in bytes.
     """
 
     request_id: str
@@ -42,6 +44,9 @@
     relayed_attempts: int | None = None
     relay_id: str = ""
     min_configuration: int = 0
+    try_hold_response: Callable[[int], bool] = field(
+        default=lambda size: True, repr=False, compare=False
+    )
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hibiscushaven/forwarding/relaying.py
+++ b/src/hibiscushaven/forwarding/relaying.py
@@ -219,7 +219,7 @@
         for peer in self._candidates(context.route.home_regions)[:MAX_PEERS]:
             try:
                 head = await self._client.attempt(self._request(context, peer, attempts_left))
-                body, body_stream = await buffer_body(head)
+                body, body_stream = await buffer_body(head, context.request.try_hold_response)
             except AttemptError as error:
                 context.last_error = f"relay to {peer}: {error}"
                 self._count(error.kind.value)
--- a/src/hibiscushaven/gateway/daemon.py
+++ b/src/hibiscushaven/gateway/daemon.py
@@ -5,12 +5,13 @@
 from collections.abc import Callable
 from dataclasses import fields, replace
 from math import inf
-from typing import Protocol
+from typing import Any, Protocol
 
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import JSONResponse, PlainTextResponse, Response
 from starlette.routing import Route
+from starlette.types import ASGIApp
 
 from hibiscushaven.delivery import BackendClient, ClientTimeouts, Dialect
 from hibiscushaven.forwarding import (
@@ -26,7 +27,16 @@
 from hibiscushaven.ini.fields import Endpoint
 from hibiscushaven.metrics import Metrics
 from hibiscushaven.metrics.exposition import to_text
-from hibiscushaven.process import Clock, ConnectionLimits, HttpServer, MachineLimits, spawn
+from hibiscushaven.process import (
+    BudgetLimits,
+    Clock,
+    ConnectionBudget,
+    ConnectionLimits,
+    HttpServer,
+    MachineLimits,
+    Part,
+    spawn,
+)
 from hibiscushaven.routing import CallerLimits, OperatorState
 
 from .directory import choose_addresses
@@ -42,6 +52,9 @@
 # configurable timeouts, so that no connection is closed earlier than the caller expects.
 CALLER_IDLE_S = 120
 
+# Length of the header fields that VMs add to a relayed request.
+RELAY_FIELDS_BYTES = 1024
+
 # Idle timeout of connections to backend servers, which close idle connections after 10 s
 # themselves. The gateway closes them first, so that it sends no request on a closing connection.
 BACKEND_IDLE_S = 8.0
@@ -122,12 +135,14 @@
         clock: Clock,
         machine: MachineLimits | None = None,
     ) -> None:
-        self._machine = machine or MachineLimits.detect()
         self._options = options
         self._store = store
         self._directory = directory
         self._clock = clock
         self._metrics = Metrics()
+        self._budget = ConnectionBudget(
+            BudgetLimits.of(machine or MachineLimits.detect()), on_eviction=self._count_eviction
+        )
         timeouts = ClientTimeouts(
             connect_s=CONNECT_TIMEOUT_S, progress_s=PROGRESS_TIMEOUT_S, idle_s=BACKEND_IDLE_S
         )
@@ -156,19 +171,26 @@
         relay_app = CallerApp(self._forwarder, RelayedCallers(callers), clock)
         self._caller_limits = _connection_limits(CallerLimits(idle_timeout_s=CALLER_IDLE_S))
         self._servers = [
-            _make_server(
+            self._make_server(
                 self._app,
                 options.callers_at,
                 lambda: self._caller_limits,
-                callers.id_header,
+                id_header=callers.id_header,
+            ),
+            self._make_server(Starlette(routes=[self._readiness_route()]), options.readiness_at),
+            self._make_server(Starlette(routes=[self._directory_route()]), options.directory_at),
+            self._make_server(
+                relay_app,
+                options.relay_at,
+                lambda: _relay_limits(self._caller_limits),
+                id_header=callers.id_header,
+                echoed_headers=(RelayDialect.id_header,),
             ),
-            _make_server(Starlette(routes=[self._readiness_route()]), options.readiness_at),
-            _make_server(Starlette(routes=[self._directory_route()]), options.directory_at),
-            _make_server(relay_app, options.relay_at),
         ]
         for address in (options.status_at, options.metrics_at):
             if address is not None:
-                self._servers.append(_make_server(Starlette(routes=self._status_routes()), address))
+                app = Starlette(routes=self._status_routes())
+                self._servers.append(self._make_server(app, address))
 
     async def start(self) -> None:
         """Start the node and the HTTP servers.
@@ -278,6 +300,27 @@
     def _drain_arrival_counts(self) -> dict[str, int]:
         return self._forwarder.drain_arrival_counts()
 
+    def _count_eviction(self, reason: str) -> None:
+        self._metrics.counter("connections_evicted_total", request_class=reason).add()
+
+    def _make_server(
+        self,
+        app: ASGIApp,
+        address: Endpoint,
+        limits: Callable[[], ConnectionLimits] | None = None,
+        **options: Any,
+    ) -> HttpServer:
+        return HttpServer(
+            app,
+            address.host,
+            address.port,
+            CALLER_IDLE_S,
+            adds_date_header=False,
+            limits=limits or (lambda: replace(self._caller_limits, idle_timeout_s=CALLER_IDLE_S)),
+            budget=self._budget,
+            **options,
+        )
+
     def _readiness_route(self) -> Route:
         async def readiness(request: Request) -> Response:
             return PlainTextResponse("", 200 if self.node.is_ready else 503)
@@ -305,6 +348,10 @@
 
     def _status_routes(self) -> list[Route]:
         async def metrics(request: Request) -> Response:
+            for part in Part:
+                gauge = self._metrics.gauge("callers_held_bytes", request_class=part.value)
+                gauge.set(self._budget.held_bytes(part))
+            self._metrics.gauge("callers_connections").set(self._budget.connections)
             return PlainTextResponse(to_text(self._metrics))
 
         async def status(request: Request) -> Response:
@@ -365,22 +412,21 @@
     )
 
 
-def _make_server(
-    app: object,
-    address: Endpoint,
-    limits: Callable[[], ConnectionLimits] | None = None,
-    id_header: str = "",
-) -> HttpServer:
-    return HttpServer(
-        app,
-        address.host,
-        address.port,
-        CALLER_IDLE_S,
-        adds_date_header=False,
-        limits=limits,
-        id_header=id_header,
+def _connection_limits(limits: CallerLimits) -> ConnectionLimits:
+    return ConnectionLimits(
+        limits.max_header_bytes,
+        limits.header_timeout_s,
+        limits.idle_timeout_s,
+        limits.max_body_bytes,
     )
 
 
-def _connection_limits(limits: CallerLimits) -> ConnectionLimits:
-    return ConnectionLimits(limits.max_header_bytes, limits.header_timeout_s, limits.idle_timeout_s)
+def _relay_limits(limits: ConnectionLimits) -> ConnectionLimits:
+    """Return the limits for requests that other VMs relay.
+
+    Each field of a relayed head can be a byte longer, and there are those between VMs. The length
+    of the body is checked once it is known that the peer's configuration is not newer.
+    """
+    return ConnectionLimits(
+        2 * limits.max_head_bytes + RELAY_FIELDS_BYTES, limits.head_timeout_s, CALLER_IDLE_S
+    )
--- a/src/hibiscushaven/process/__init__.py
+++ b/src/hibiscushaven/process/__init__.py
@@ -3,6 +3,7 @@
 from .background import keep_running, spawn
 from .caller_protocol import ConnectionLimits
 from .clock import Clock, SystemClock
+from .connection_budget import BudgetLimits, ConnectionBudget, Part
 from .machine import MachineLimits
 from .pauses import PauseDetector
 from .server import HttpServer
@@ -10,10 +11,13 @@
 from .sockets import socket_factory
 
 __all__ = [
+    "BudgetLimits",
     "Clock",
+    "ConnectionBudget",
     "ConnectionLimits",
     "HttpServer",
     "MachineLimits",
+    "Part",
     "PauseDetector",
     "SystemClock",
     "keep_running",
--- a/src/hibiscushaven/process/caller_protocol.py
+++ b/src/hibiscushaven/process/caller_protocol.py
@@ -1,12 +1,17 @@
 """HTTP protocol for connections of callers, with limits on sizes and times."""
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from math import inf
 from typing import Any
 
+import httptools
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol, RequestResponseCycle
 
+from .connection_budget import ConnectionBudget, Part
+from .read_flow import ReadFlow
 from .request_parser import RequestParser
 
 __all__ = ["CallerProtocol", "ConnectionLimits", "RequestProtocol"]
@@ -18,9 +23,44 @@
 # Colon behind the name of a header field, and the line break after its value.
 _FIELD_OVERHEAD_BYTES = 3
 
+# Bytes that are read at once. The memory that they take once parsed is known only afterwards.
+READ_BYTES = 16 * 1024
+
+# Parsed fields and pieces of a body above which a read counts as expensive.
+EXPENSIVE_EVENTS = 256
+
+# Memory of a header field beside its name and value, which exist as bytes and as text.
+FIELD_BYTES = 320
+
+# Memory of a request beside its head and body: while it arrives or is queued, and in progress with
+# its connection to a backend server.
+MESSAGE_BYTES = 3 * 1024
+IN_PROGRESS_BYTES = 32 * 1024
+
+# Bodies grow in steps while they arrive. In progress they exist twice, the second time in the
+# buffer of the connection to a backend server.
+ARRIVING_BODY_FACTOR = 1.25
+BODY_FACTOR = 2
+
+# Bytes that the kernel holds for a connection from which is not read, or to which is not written.
+KERNEL_BUFFER_BYTES = 64 * 1024
+
+# Queued requests of a connection above which no more are read from it.
+MAX_QUEUED_REQUESTS = 4
+
+# Bytes of framing of a body, such as extensions of chunks: a fixed number, and some for each byte
+# of the body, since a chunk of one byte has five of them.
+MAX_FRAMING_BYTES = 64 * 1024
+MAX_FRAMING_RATIO = 16
+
+# Retry delay of callers whose request this VM has no memory for; other VMs may accept it at once.
+OVERLOAD_RETRY_S = 0.2
+
 _REASON_PHRASES = {
     408: b"Request Timeout",
+    413: b"Content Too Large",
     431: b"Request Header Fields Too Large",
+    503: b"Service Unavailable",
 }
 
 
@@ -31,11 +71,13 @@
     :ivar max_head_bytes: maximum size of the request line and header fields.
     :ivar head_timeout_s: maximum time from the first to the last byte of the head.
     :ivar idle_timeout_s: maximum time without a byte between requests, or within a body.
+    :ivar max_body_bytes: maximum size of a body; infinite if the application checks it.
     """
 
     max_head_bytes: int
     head_timeout_s: float
     idle_timeout_s: float
+    max_body_bytes: float = inf
 
 
 class RequestProtocol(HttpToolsProtocol):
@@ -58,10 +100,17 @@
         self._running_cycle: RequestResponseCycle | None = None
 
     def data_received(self, data: bytes) -> None:
-        if not self._is_rejected:
-            super().data_received(data)
+        if self._is_rejected:
+            return
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.logger.warning("bytes of a caller that are no request")
+            self.send_400_response("Invalid HTTP request received.")
 
     def on_message_begin(self) -> None:
+        # Blank lines between requests do not end the idle time.
+        self._unset_keepalive_if_required()
         self._is_in_head = True
         super().on_message_begin()
 
@@ -112,94 +161,262 @@
     Explanation
     ===========
 
-    A head or trailers that are too long are rejected with status 431. A head that does not arrive
-    in time or a body that stalls is rejected with status 408. Rejected requests are not forwarded.
-    If the response to an earlier request on the connection is in progress, it is completed first.
+    A head or trailers that are too long are rejected with status 431, a body that is too long with
+    status 413. A head that does not arrive in time or a body that stalls is rejected with status
+    408. Rejected requests are not forwarded. If the response to an earlier request on the
+    connection is in progress, it is completed first.
 
     The idle timeout of a connection is the one in force when its idle time began, since the
     caller cannot learn of a shorter one before the next response.
 
+    What the connection holds is part of the budget of all connections. Once that is used up,
+    requests that have arrived or are arriving are rejected with status 503.
+
     :param limits: returns the limits in force.
+    :param budget: budget of all connections; by default one for this connection.
     :param id_header: lower-case name of the header field with a request's id, for the log and
         for responses.
+    :param echoed_headers: lower-case names of further header fields that responses return.
     """
 
     def __init__(
         self,
         *args: Any,
         limits: Callable[[], ConnectionLimits],
+        budget: ConnectionBudget | None = None,
         id_header: str = "",
+        echoed_headers: tuple[str, ...] = (),
         **options: Any,
     ) -> None:
         super().__init__(*args, **options)
         self._limits = limits
+        self._budget = budget or ConnectionBudget()
         self._id_header = id_header.encode()
-        self._received_bytes = 0
-        self._parsed_bytes = 0
+        self._echoed_headers = {name.encode() for name in (id_header, *echoed_headers) if name}
         self._arrival_timer: asyncio.TimerHandle | None = None
+        # The message that is being received.
+        self._is_receiving = False
+        self._head_memory_bytes = 0
+        self._body_bytes = 0
+        # Lengths of its parsed head, of all its head, and of its body with the framing.
+        self._parsed_bytes = 0
+        self._head_bytes = 0
+        self._framed_body_bytes = 0
+        # Bytes since anything was parsed, and what was parsed of the current read.
+        self._unparsed_bytes = 0
+        self._events = 0
+        self._begun_messages = 0
+        # Memory of queued requests that are complete, the latest first as in ``pipeline``.
+        self._queued_memory_bytes: deque[int] = deque()
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         super().connection_made(transport)
+        transport.max_size = READ_BYTES  # type: ignore[attr-defined]
+        self.flow = ReadFlow(transport)
         idle_s = self._limits().idle_timeout_s
         self.timeout_keep_alive_task = self.loop.call_later(idle_s, self.timeout_keep_alive_handler)
+        self._account = self._budget.open(self)
+        self._budget.relieve()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._stop_arrival_timer()
+        self._account.close()
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
         if self._is_rejected:
             return
         self._stop_arrival_timer()
-        self._received_bytes = len(data) + (self._received_bytes if self._is_in_head else 0)
+        is_first = not self._is_receiving
+        if self._is_in_head:
+            self._head_bytes += len(data)
+        else:
+            self._framed_body_bytes += len(data)
+        self._events = self._begun_messages = 0
         super().data_received(data)
+        self._unparsed_bytes = 0 if self._events else self._unparsed_bytes + len(data)
+        if is_first and self._begun_messages == 1:
+            self._head_bytes = len(data)
         if self._is_rejected or self.transport.is_closing():
+            self._record_memory()
             return
-        limits = self._limits()
-        if not self._is_in_head:
-            if self.cycle is not None and self.cycle.more_body:
-                self._start_arrival_timer(limits.idle_timeout_s, self._on_body_timeout)
-        elif self._received_bytes > limits.max_head_bytes:
-            self._reject(431)
-        else:
-            remaining_s = self._head_started_at + limits.head_timeout_s - self.loop.time()
-            self._start_arrival_timer(remaining_s, lambda: self._reject(408))
+        self._check_arrival()
+        self._record_memory()
+        self._budget.relieve()
+        if self._events > EXPENSIVE_EVENTS:
+            self._budget.turns.wait(self.flow)
 
     def on_message_begin(self) -> None:
+        if self._is_rejected:
+            return
+        self._is_receiving = True
         self._head_started_at = self.loop.time()
-        self._parsed_bytes = 0
+        if not self._has_request_in_progress():
+            self._account.since = self._budget.now()
+        self._head_memory_bytes = self._body_bytes = 0
+        self._parsed_bytes = self._head_bytes = self._framed_body_bytes = 0
+        self._begun_messages += 1
+        self._events += 1
         super().on_message_begin()
+        self.scope["state"]["try_hold_response"] = self._try_hold_response
 
     def on_url(self, url: bytes) -> None:
+        if self._is_rejected:
+            return
         self._parsed_bytes += len(url)
+        self._head_memory_bytes += 3 * len(url)
         super().on_url(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self._is_rejected:
             return
+        self._events += 1
         self._parsed_bytes += len(name) + len(value) + _FIELD_OVERHEAD_BYTES
         super().on_header(name, value)
-        if self._parsed_bytes > self._limits().max_head_bytes and not self._is_in_head:
+        if self._is_in_head:
+            self._head_memory_bytes += FIELD_BYTES + 2 * (len(name) + len(value))
+        elif self._parsed_bytes > self._limits().max_head_bytes:
             self._reject(431)
 
     def on_headers_complete(self) -> None:
-        if self._parsed_bytes > self._limits().max_head_bytes:
+        if self._is_rejected:
+            return
+        limits = self._limits()
+        if self._parsed_bytes > limits.max_head_bytes:
             self._reject(431)
-        self._parsed_bytes = 0
-        if not self._is_rejected:
+        elif self._announced_body_bytes() > limits.max_body_bytes:
+            self._reject(413)
+        else:
+            self._parsed_bytes = 0
             super().on_headers_complete()
 
     def on_body(self, body: bytes) -> None:
-        if not self._is_rejected:
-            super().on_body(body)
+        if self._is_rejected:
+            return
+        self._events += 1
+        self._body_bytes += len(body)
+        super().on_body(body)
+        if self._body_bytes > self._limits().max_body_bytes:
+            self._reject(413)
 
     def on_message_complete(self) -> None:
-        if not self._is_rejected:
-            super().on_message_complete()
+        if self._is_rejected:
+            return
+        self._is_receiving = False
+        super().on_message_complete()
+        if self.cycle.response_complete:
+            return
+        memory_bytes = MESSAGE_BYTES + self._head_memory_bytes + BODY_FACTOR * self._body_bytes
+        if self.cycle is self._running_cycle:
+            self._admit(memory_bytes)
+        else:
+            self._queued_memory_bytes.appendleft(memory_bytes)
 
     def on_response_complete(self) -> None:
         self.timeout_keep_alive = self._limits().idle_timeout_s
+        self._account.hold(Part.REQUEST, 0)
+        self._account.hold(Part.RESPONSE, 0)
+        self._account.has_served = True
+        self._account.since = self._budget.now()
         super().on_response_complete()
+        if self._is_receiving:
+            self._unset_keepalive_if_required()
+        self._record_memory()
+
+    def pause_writing(self) -> None:
+        super().pause_writing()
+        self._account.since = self._budget.now()
+        self._account.block(True)
+        unread_bytes = self.transport.get_write_buffer_size() + KERNEL_BUFFER_BYTES
+        self._account.hold(Part.UNREAD, unread_bytes)
+        self._budget.relieve()
+
+    def resume_writing(self) -> None:
+        super().resume_writing()
+        self._account.block(False)
+        self._account.hold(Part.UNREAD, 0)
+
+    def evict(self, is_descriptor_needed: bool) -> None:
+        """Free what the connection holds, beside a request that may have been sent to a server."""
+        if not self.flow.write_paused and self._has_request_in_progress():
+            self._drop_queued_requests()
+            self._record_memory()
+        elif not self.flow.write_paused and self._is_receiving and not self._is_rejected:
+            self._reject(503)
+            self._record_memory()
+            if is_descriptor_needed:
+                self.transport.close()
+        else:
+            self._is_rejected = True
+            self._account.close()
+            self.transport.abort()
+
+    def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
+        super()._start_asgi_task(cycle, app)
+        if not cycle.more_body:
+            self._admit(self._queued_memory_bytes.pop())
+
+    def _admit(self, memory_bytes: int) -> None:
+        """Let the running request proceed, which has arrived completely, if there is room."""
+        if not self._account.try_hold(Part.REQUEST, memory_bytes + IN_PROGRESS_BYTES):
+            self._drop_queued_requests()
+            self._disconnect_app(self._running_cycle)
+            headers = self._running_cycle.scope["headers"]
+            self._log_rejection(503, headers)
+            self._respond(503, headers)
+
+    def _try_hold_response(self, size: int) -> bool:
+        """Return whether there is room for a part of the response until it is written."""
+        has_room = self._account.try_hold(Part.RESPONSE, size)
+        self._budget.relieve()
+        return has_room
+
+    def _has_request_in_progress(self) -> bool:
+        """Return whether a complete request may have been sent to a backend server."""
+        cycle = self._running_cycle
+        return (
+            cycle is not None
+            and not cycle.more_body
+            and not cycle.response_complete
+            and not cycle.disconnected
+        )
+
+    def _announced_body_bytes(self) -> int:
+        length = next((value for name, value in self.headers if name == b"content-length"), b"0")
+        return int(length)
+
+    def _check_arrival(self) -> None:
+        """Reject a message that exceeds the limits, or start the timer for its next bytes."""
+        limits = self._limits()
+        framing_bytes = self._framed_body_bytes - MAX_FRAMING_RATIO * self._body_bytes
+        if self._is_in_head:
+            if max(self._head_bytes, self._parsed_bytes) > limits.max_head_bytes:
+                self._reject(431)
+                return
+            remaining_s = self._head_started_at + limits.head_timeout_s - self.loop.time()
+            self._start_arrival_timer(remaining_s, lambda: self._reject(408))
+        elif framing_bytes > MAX_FRAMING_BYTES or self._unparsed_bytes > limits.max_head_bytes:
+            self.logger.warning("bytes of a caller that are no request")
+            self.send_400_response("Invalid HTTP request received.")
+        elif self._is_receiving:
+            self._start_arrival_timer(limits.idle_timeout_s, self._on_body_timeout)
+
+    def _record_memory(self) -> None:
+        """Record what the connection holds, beside the request in progress."""
+        head_bytes = body_bytes = queued_bytes = 0
+        if self._is_receiving and not self._is_rejected:
+            head_bytes = MESSAGE_BYTES + self._head_memory_bytes + self._unparsed_bytes
+            if self._is_in_head or not self.cycle.response_complete:
+                body_bytes = int(ARRIVING_BODY_FACTOR * self._body_bytes)
+        if self._queued_memory_bytes:
+            queued_bytes = sum(self._queued_memory_bytes) + KERNEL_BUFFER_BYTES
+        self._account.hold(Part.HEAD, head_bytes)
+        self._account.hold(Part.BODY, body_bytes)
+        self._account.hold(Part.QUEUE, queued_bytes)
+        if len(self._queued_memory_bytes) >= MAX_QUEUED_REQUESTS:
+            self.flow.hold_reading("queue")
+        else:
+            self.flow.release_reading("queue")
 
     def _start_arrival_timer(self, limit_s: float, action: Callable[[], None]) -> None:
         self._arrival_timer = self.loop.call_later(max(0.0, limit_s), action)
@@ -216,14 +433,10 @@
         else:
             self._reject(408)
 
-    def _request_id(self) -> bytes:
-        """Return the id in the head of the request that is being received, if it has arrived."""
-        fields = (value for name, value in self.headers or () if name == self._id_header)
-        return next(fields, b"")
-
     def _reject(self, status: int) -> None:
         """Respond to a request that has not arrived completely, and end the connection."""
         self._is_rejected = True
+        self._stop_arrival_timer()
         cycle = self.cycle
         if not self._is_in_head and cycle.response_started:
             # The response did not wait for the whole request.
@@ -231,29 +444,62 @@
             if cycle.response_complete:
                 self.transport.close()
             return
-        request_id = self._request_id()
-        self.logger.warning(
-            "request of a caller refused",
-            extra={
-                "request_id": request_id.decode("latin-1"),
-                "status": status,
-                "not_run_by": "vm",
-            },
-        )
+        headers = self.headers or []
+        self._log_rejection(status, headers)
         if self._is_in_head:
             if cycle is not None and not cycle.response_complete:
                 # The previous request is still being answered; its response ends the connection.
                 cycle.keep_alive = False
+                headers.clear()
                 return
         elif self._drop_queued_request():
+            headers.clear()
             return
         else:
-            cycle.disconnected = True
-            cycle.message_event.set()
-        id_field = b"%b: %b\r\n" % (self._id_header, request_id) if request_id else b""
+            self._disconnect_app(cycle)
+        self._respond(status, headers)
+
+    def _disconnect_app(self, cycle: RequestResponseCycle) -> None:
+        """End a request that the application has not received completely."""
+        cycle.disconnected = True
+        cycle.body = bytearray()
+        cycle.message_event.set()
+
+    def _drop_queued_requests(self) -> None:
+        """Drop all requests behind the running one, whose response ends the connection."""
+        self._is_rejected = True
+        self._stop_arrival_timer()
+        self.pipeline.clear()
+        self._queued_memory_bytes.clear()
+        self.headers = []
+        self.cycle = self._running_cycle
+        self.cycle.keep_alive = False
+
+    def _log_rejection(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
+        fields = (value for name, value in headers if name == self._id_header)
+        self.logger.warning(
+            "request of a caller refused",
+            extra={
+                "request_id": next(fields, b"").decode("latin-1"),
+                "status": status,
+                "not_run_by": "vm",
+            },
+        )
+
+    def _respond(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
+        """Send the response to a rejected request, and close the connection after it.
+
+        :param headers: header fields of the request, which are freed.
+        """
+        fields = [item for item in headers if item[0] in self._echoed_headers]
+        headers.clear()
+        fields.append((b"request-outcome", b"not-run"))
+        if status == 503:
+            fields.append((b"retry-after", b"%.3g" % OVERLOAD_RETRY_S))
+        lines = b"".join(b"%b: %b\r\n" % item for item in fields)
         self.transport.write(
             b"HTTP/1.1 %d %b\r\n%bcontent-length: 0\r\nconnection: close\r\n\r\n"
-            % (status, _REASON_PHRASES[status], id_field)
+            % (status, _REASON_PHRASES[status], lines)
         )
         if self.transport.can_write_eof():
             self.transport.write_eof()
--- a/src/hibiscushaven/process/server.py
+++ b/src/hibiscushaven/process/server.py
@@ -13,6 +13,7 @@
 from hibiscushaven.ini.fields import Endpoint
 
 from .caller_protocol import CallerProtocol, ConnectionLimits, RequestProtocol
+from .connection_budget import ConnectionBudget
 
 __all__ = ["HttpServer"]
 
@@ -47,7 +48,9 @@
     :param adds_date_header: whether to add a ``Date`` header to responses without one.
     :param limits: returns the limits of each connection, which may change while the server
         runs; ``None`` for none.
+    :param budget: budget that the connections share with those of other servers.
     :param id_header: name of the header field with a request's id, for the log.
+    :param echoed_headers: further header fields that responses to rejected requests return.
     """
 
     def __init__(
@@ -58,11 +61,19 @@
         keep_alive_s: int = 15,
         adds_date_header: bool = True,
         limits: Callable[[], ConnectionLimits] | None = None,
+        budget: ConnectionBudget | None = None,
         id_header: str = "",
+        echoed_headers: tuple[str, ...] = (),
     ) -> None:
         protocol = RequestProtocol
         if limits is not None:
-            protocol = partial(CallerProtocol, limits=limits, id_header=id_header.lower())
+            protocol = partial(
+                CallerProtocol,
+                limits=limits,
+                budget=budget,
+                id_header=id_header.lower(),
+                echoed_headers=tuple(name.lower() for name in echoed_headers),
+            )
         config = uvicorn.Config(
             app,
             host=host,
