Accept few connections at once

400 silent connections took all 300 descriptors of a process at once: asyncio accepts as many connections in one iteration of its loop as the backlog holds, 2048, before any of them can be closed. The store, peers and backend servers could not be reached then, and accepting failed in a loop.

A listening socket now accepts 16 connections in an iteration, and the budget closes those that are too many in a later one.

With the budget before this commit, silent connections hold to the limit at the four HTTP ports of test_crowds.py; this keeps the number low also while they are accepted.

--- a/src/hibiscushaven/process/__init__.py
+++ b/src/hibiscushaven/process/__init__.py
@@ -8,9 +8,10 @@
 from .pauses import PauseDetector
 from .server import HttpServer
 from .signals import on_stop
-from .sockets import socket_factory
+from .sockets import ACCEPTS_PER_TURN, listen, socket_factory
 
 __all__ = [
+    "ACCEPTS_PER_TURN",
     "BudgetLimits",
     "Clock",
     "ConnectionBudget",
@@ -21,6 +22,7 @@
     "PauseDetector",
     "SystemClock",
     "keep_running",
+    "listen",
     "on_stop",
     "socket_factory",
     "spawn",
--- a/src/hibiscushaven/process/server.py
+++ b/src/hibiscushaven/process/server.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import os
 import socket
 from collections.abc import Callable
 from functools import partial
@@ -10,15 +9,12 @@
 import uvicorn
 from starlette.types import ASGIApp
 
-from hibiscushaven.ini.fields import Endpoint
-
 from .caller_protocol import CallerProtocol, ConnectionLimits, RequestProtocol
 from .connection_budget import ConnectionBudget
+from .sockets import ACCEPTS_PER_TURN, listen
 
 __all__ = ["HttpServer"]
 
-_BACKLOG = 2048
-
 
 class _SignalFreeServer(uvicorn.Server):
     """Server that leaves signal handling to the daemon."""
@@ -78,6 +74,7 @@
             app,
             host=host,
             port=port,
+            backlog=ACCEPTS_PER_TURN,
             log_config=None,
             access_log=False,
             lifespan="off",
@@ -104,7 +101,7 @@
         """
         config = self._server.config
         # Binding here raises an error; uvicorn would log it and exit the process.
-        self._socket = _bind(config.host, config.port)
+        self._socket = listen(config.host, config.port)
         self._task = asyncio.create_task(self._server.serve(sockets=[self._socket]))
         while not self._server.started:
             if self._task.done():
@@ -122,12 +119,3 @@
             self._server.wake()
         if self._task is not None:
             await self._task
-
-
-def _bind(host: str, port: int) -> socket.socket:
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    try:
-        return socket.create_server((host, port), family=family, backlog=_BACKLOG)
-    except OSError as error:
-        reason = os.strerror(error.errno) if error.errno else str(error)
-        raise OSError(error.errno, f"cannot listen on {Endpoint(host, port)}: {reason}") from error
