Account for connections of other VMs

30 connections that sent unfinished messages of 8 MB to the port for other VMs took a process to 190 MB, and silent ones took its descriptors: the limit on the length of responses was that of requests too, and nothing accounted for these connections. A peer that did not read its response kept a connection that was closed but not flushed.

Requests, which are two numbers, are limited to 16 KiB. The connections are part of the budget of the process, with the responses that they hold, and they are aborted when their time is over.

--- a/src/hibiscushaven/fleet/tests/test_fleet.py
+++ b/src/hibiscushaven/fleet/tests/test_fleet.py
@@ -24,6 +24,7 @@
 from hibiscushaven.fleet.messages import decode, encode
 from hibiscushaven.fleet.sync import decode_sync_response, encode_sync_response
 from hibiscushaven.ini.fields import Endpoint
+from hibiscushaven.process import BudgetLimits, ConnectionBudget
 from hibiscushaven.routing import Configuration, OperatorState
 
 TOKEN = token_of("s1")
@@ -198,9 +199,9 @@
         decode_sync_response(0.0, items)
 
 
-async def _start_transport(on_pull, on_message=lambda message: None):
+async def _start_transport(on_pull, on_message=lambda message: None, budget=None):
     port = random.randint(20000, 60000)
-    transport = FleetTransport(lambda: 10.0, on_message, on_pull)
+    transport = FleetTransport(lambda: 10.0, on_message, on_pull, budget)
     for _ in range(20):
         try:
             await transport.start(Endpoint("127.0.0.1", port))
@@ -224,6 +225,43 @@
     assert asyncio.run(run()).servers.version == 9
 
 
+def test_silent_pulls_beyond_the_budget_are_closed():
+    """Guards against connections of other VMs that no budget accounts for."""
+
+    async def run():
+        budget = ConnectionBudget(BudgetLimits(2**20, connections=2))
+        server, port = await _start_transport(lambda *_: make_sync_response(), budget=budget)
+        client, _ = await _start_transport(lambda *_: SyncResponse())
+        silent = [await asyncio.open_connection("127.0.0.1", port) for _ in range(6)]
+        response = await client.pull(f"127.0.0.1:{port}", 1, 1, 5.0)
+        for reader, _ in silent[:4]:
+            with contextlib.suppress(ConnectionError):
+                assert await reader.read() == b""
+        assert budget.connections <= 2
+        server.close()
+        client.close()
+        return response
+
+    assert asyncio.run(run()).servers.version == 9
+
+
+@pytest.mark.parametrize("request_bytes", [b"\xc6\x00\x7f\xff\xff" + bytes(50_000), b"\xc1"])
+def test_pull_that_is_too_long_or_malformed_is_closed(request_bytes):
+    """Guards against requests of other VMs that are stored without a bound."""
+
+    async def run():
+        budget = ConnectionBudget(BudgetLimits(2**20, connections=2))
+        server, port = await _start_transport(lambda *_: make_sync_response(), budget=budget)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(request_bytes)
+        with contextlib.suppress(ConnectionError):
+            assert await reader.read() == b""
+        assert budget.total_bytes == budget.connections == 0
+        server.close()
+
+    asyncio.run(run())
+
+
 def test_valid_datagrams_reach_the_handler_and_malformed_ones_are_counted():
     """Guards against a malformed datagram that stops the receipt of later ones."""
 
--- a/src/hibiscushaven/fleet/transport.py
+++ b/src/hibiscushaven/fleet/transport.py
@@ -7,6 +7,7 @@
 import msgpack
 
 from hibiscushaven.ini.fields import Endpoint
+from hibiscushaven.process import ACCEPTS_PER_TURN, ConnectionBudget, Part, listen
 
 from .messages import Message, MessageError, decode
 from .sync import SyncResponse, decode_sync_response, encode_sync_response
@@ -18,6 +19,9 @@
 # Enough for a configuration of about ten thousand routes.
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 
+# Enough for the two versions of a pull, and for what later builds may add.
+MAX_REQUEST_BYTES = 16 * 1024
+
 _READ_CHUNK_BYTES = 64 * 1024
 
 OnMessage = Callable[[Message], None]
@@ -31,11 +35,19 @@
     :param on_message: called with each state and digest that arrives.
     :param on_pull: called with the peer's version of the operator's state and of the backend
         servers; returns what is newer here.
+    :param budget: budget that the pulls share with the connections of callers.
     :ivar malformed: number of datagrams dropped as malformed.
     """
 
-    def __init__(self, clock: Callable[[], float], on_message: OnMessage, on_pull: OnPull) -> None:
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        on_message: OnMessage,
+        on_pull: OnPull,
+        budget: ConnectionBudget | None = None,
+    ) -> None:
         self._clock = clock
+        self._budget = budget or ConnectionBudget()
         self._on_message = on_message
         self._on_pull = on_pull
         self._transport: asyncio.DatagramTransport | None = None
@@ -53,7 +65,12 @@
         self._transport, _ = await loop.create_datagram_endpoint(
             lambda: self, local_addr=local_addr
         )
-        self._server = await asyncio.start_server(self._serve_pull, *local_addr)
+        self._server = await asyncio.start_server(
+            self._serve_pull,
+            sock=listen(*local_addr),
+            limit=MAX_REQUEST_BYTES,
+            backlog=ACCEPTS_PER_TURN,
+        )
 
     def close(self) -> None:
         """Stop listening and close all connections."""
@@ -84,7 +101,7 @@
             reader, writer = await asyncio.open_connection(host, int(port))
             try:
                 writer.write(msgpack.packb([operator_version, servers_version]))
-                items = await _read_message(reader)
+                items = await _read_message(reader, MAX_RESPONSE_BYTES)
             finally:
                 writer.close()
         return decode_sync_response(self._clock(), items)
@@ -104,25 +121,51 @@
 
     async def _serve_pull(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
+        connection = _PullConnection(writer, self._budget)
+        self._budget.relieve()
         try:
             async with asyncio.timeout(_SERVE_PULL_TIMEOUT_S):
-                operator_version, servers_version, *_ = await _read_message(reader)
+                operator_version, servers_version, *_ = await _read_message(
+                    reader, MAX_REQUEST_BYTES
+                )
                 response = self._on_pull(int(operator_version), int(servers_version))
-                writer.write(encode_sync_response(self._clock(), response))
-                await writer.drain()
+                data = encode_sync_response(self._clock(), response)
+                connection.account.hold(Part.UNREAD, len(data))
+                writer.write(data)
+                del data
+                self._budget.relieve()
+                writer.close()
+                await writer.wait_closed()
         except (OSError, MessageError, TypeError, ValueError) as error:
             _LOG.info("sync response not delivered", extra={"why": repr(error)})
         finally:
             self._writers.discard(writer)
-            writer.close()
+            # A peer that does not read its response would keep a connection that is only closed.
+            connection.evict()
+
+
+class _PullConnection:
+    """Connection of a pull, which its peer may repeat.
+
+    :ivar account: what the connection holds.
+    """
+
+    def __init__(self, writer: asyncio.StreamWriter, budget: ConnectionBudget) -> None:
+        self._writer = writer
+        self.account = budget.open(self)
+
+    def evict(self, is_descriptor_needed: bool = False) -> None:
+        """Close the connection."""
+        self.account.close()
+        self._writer.transport.abort()
 
 
 # Time limit for answering a pull; as long as the longest pull.
 _SERVE_PULL_TIMEOUT_S = 2.0
 
 
-async def _read_message(reader: asyncio.StreamReader) -> object:
-    unpacker = msgpack.Unpacker(max_buffer_size=MAX_RESPONSE_BYTES, strict_map_key=False)
+async def _read_message(reader: asyncio.StreamReader, max_bytes: int) -> object:
+    unpacker = msgpack.Unpacker(max_buffer_size=max_bytes, strict_map_key=False)
     while True:
         chunk = await reader.read(_READ_CHUNK_BYTES)
         if not chunk:
--- a/src/hibiscushaven/gateway/daemon.py
+++ b/src/hibiscushaven/gateway/daemon.py
@@ -157,6 +157,7 @@
             self._client.retire_connections,
             self._metrics,
             self._on_links_change,
+            self._budget,
         )
         self._forwarder = make_forwarder(
             self.node,
--- a/src/hibiscushaven/gateway/node.py
+++ b/src/hibiscushaven/gateway/node.py
@@ -36,7 +36,7 @@
 from hibiscushaven.ini.fields import Endpoint
 from hibiscushaven.metrics import Metrics
 from hibiscushaven.placement import Picker, PickerOptions, ServerLoads
-from hibiscushaven.process import Clock, PauseDetector, keep_running, spawn
+from hibiscushaven.process import Clock, ConnectionBudget, PauseDetector, keep_running, spawn
 from hibiscushaven.quarantine import CrashLedger
 from hibiscushaven.routing import OperatorState, ServiceOptions
 
@@ -131,6 +131,7 @@
     :param metrics: registry for the metrics of the node; by default they are not exposed.
     :param on_links_change: called with whether this VM is isolated from all backend servers, when
         that changes.
+    :param budget: budget that connections of other VMs share with those of callers.
     """
 
     def __init__(
@@ -143,6 +144,7 @@
         on_address_removed: Callable[[Endpoint], None] = lambda address: None,
         metrics: Metrics | None = None,
         on_links_change: Callable[[bool], None] = lambda is_isolated: None,
+        budget: ConnectionBudget | None = None,
     ) -> None:
         self._on_links_change = on_links_change
         self._options = options
@@ -166,7 +168,9 @@
             self._lost_servers.is_suspected,
         )
         metrics = metrics or Metrics()
-        self._transport = FleetTransport(clock.now, self._on_message, self._make_sync_response)
+        self._transport = FleetTransport(
+            clock.now, self._on_message, self._make_sync_response, budget
+        )
         self._reporter = SyncReporter(metrics)
         self._pauses = PauseDetector(clock.now, DIGEST_INTERVAL_S, self.view.resume)
         self._reader = StoreReader(
