Drop queued requests behind a rejected one

Clients that pipeline thousands of requests kept the backend servers busy on their own: a rejection with Retry-After was followed at once by the next queued request, so that each connection sent as fast as it was refused, and ordinary callers were rejected for minutes.

The VM now ends a connection with queued requests after its own 503 response. They have not run, and their client can't wait as the response asks while they are in the queue. Connections without queued requests stay open.

--- a/src/hibiscushaven/forwarding/app.py
+++ b/src/hibiscushaven/forwarding/app.py
@@ -21,6 +21,7 @@
 STREAM_BYTES = 256 * 1024
 
 _BODILESS_STATUSES = frozenset({204, 304})
+_RETRY_LATER = 503
 
 
 class _CallerDisconnectedError(Exception):
@@ -62,6 +63,9 @@
         body = await _read_body(receive)
         request = self._request(scope, body, received_at)
         response = await _cancel_on_disconnect(self._forwarder.handle(request), receive)
+        if response.status == _RETRY_LATER and response.is_own:
+            # The requests behind this one on the connection cannot wait as the response asks.
+            scope.get("state", {}).get("drop_queued_requests", lambda: None)()
         await self._write(send, request, response)
 
     def _request(self, scope: Scope, body: bytes, received_at: float) -> CallerRequest:
--- a/src/hibiscushaven/forwarding/tests/test_app.py
+++ b/src/hibiscushaven/forwarding/tests/test_app.py
@@ -42,8 +42,9 @@
             raise
 
 
-def scope(method="GET", path=b"/a%2fb", query=b"x=1"):
+def scope(method="GET", path=b"/a%2fb", query=b"x=1", state=None):
     return {
+        "state": state or {},
         "type": "http",
         "method": method,
         "raw_path": path,
@@ -135,6 +136,23 @@
     assert not any(not message.get("more_body", True) for message in messages)
 
 
+@pytest.mark.parametrize(
+    ("response", "drops"),
+    [
+        (rejection_response("busy", 0.2), True),
+        (rejection_response("no such route", None, status=404), False),
+        (CallerResponse(503, ()), False),
+        (CallerResponse(200, ()), False),
+    ],
+)
+def test_requests_behind_a_rejected_one_are_dropped(response, drops):
+    """Guards against queued requests that do not wait as the response before them asks."""
+    dropped = []
+    state = {"drop_queued_requests": lambda: dropped.append(True)}
+    serve(ScriptedForwarder(response), [body()], state=state)
+    assert bool(dropped) is drops
+
+
 def test_request_whose_body_is_rejected_is_not_forwarded():
     """Guards against forwarding a part of a body that the server has no memory for."""
     forwarder = ScriptedForwarder(CallerResponse(200, ()))
--- a/src/hibiscushaven/process/caller_protocol.py
+++ b/src/hibiscushaven/process/caller_protocol.py
@@ -259,6 +259,7 @@
         self._events += 1
         super().on_message_begin()
         self.scope["state"]["try_hold_response"] = self._try_hold_response
+        self.scope["state"]["drop_queued_requests"] = self._drop_queued_requests_if_any
 
     def on_url(self, url: bytes) -> None:
         if self._is_rejected:
@@ -475,6 +476,11 @@
         self.cycle = self._running_cycle
         self.cycle.keep_alive = False
 
+    def _drop_queued_requests_if_any(self) -> None:
+        if self.pipeline:
+            self._drop_queued_requests()
+            self._record_memory()
+
     def _log_rejection(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
         fields = (value for name, value in headers if name == self._id_header)
         self.logger.warning(
--- a/src/hibiscushaven/process/tests/connections.py
+++ b/src/hibiscushaven/process/tests/connections.py
@@ -84,6 +84,7 @@
 
     def __init__(self):
         self.may_respond = asyncio.Event()
+        self.drops_queued_requests = False
         self.events, self.requests, self.fields = [], [], []
 
     async def __call__(self, scope, receive, send):
@@ -100,6 +101,8 @@
         self.requests.append((scope["method"], scope["raw_path"], body))
         self.fields.append(scope["headers"])
         await self.may_respond.wait()
+        if self.drops_queued_requests:
+            scope["state"]["drop_queued_requests"]()
         headers = [(b"content-length", b"2")]
         await send({"type": "http.response.start", "status": 200, "headers": headers})
         await send({"type": "http.response.body", "body": b"ok"})
--- a/src/hibiscushaven/process/tests/test_connection_budget.py
+++ b/src/hibiscushaven/process/tests/test_connection_budget.py
@@ -159,6 +159,20 @@
     run_process(scenario, 300 * KIB)
 
 
+def test_application_can_drop_the_queued_requests(run_process):
+    """Guards against queued requests that run at once after one that is to be sent again later."""
+
+    async def scenario(process):
+        connection = process.connect()
+        connection.app.drops_queued_requests = True
+        connection.app.may_respond.set()
+        await connection.receive(3 * HEAD)
+        assert connection.written.count(b"HTTP/1.1 200 ") == len(connection.app.requests) == 1
+        assert b"connection: close" in connection.written and connection.transport.is_closed
+
+    run_process(scenario, 300 * KIB)
+
+
 def test_connection_whose_response_is_not_read_is_aborted(run_process):
     """Guards against responses that nobody reads."""
 
