--- a/tests/processes/test_crowds.py
+++ b/tests/processes/test_crowds.py
@@ -81,3 +81,44 @@
         assert statuses[-1] == 200
 
     run(scenario, tmp_path, MAX_DESCRIPTORS)
+
+
+def _fields(count):
+    return b"".join(b"%02x:\r\n" % (number % 256) for number in range(count))
+
+
+_START = b"POST /x/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: one\r\nDeadline-Ms: 60000\r\n"
+_CHUNKED = _START + b"Transfer-Encoding: chunked\r\n\r\n"
+_LENGTH = b"Content-Length: %d\r\n\r\n"
+
+# Requests within the limits, and the lengths of their bodies.
+SINGLE_REQUESTS = {
+    "whole body": (_START + _LENGTH % 1_000_000 + b"x" * 1_000_000, 1_000_000),
+    "chunks of 1000 bytes": (
+        _CHUNKED + 1000 * (b"3e8\r\n" + b"x" * 1000 + b"\r\n") + b"0\r\n\r\n",
+        1_000_000,
+    ),
+    "chunks of one byte": (_CHUNKED + 1_000_000 * b"1\r\nx\r\n" + b"0\r\n\r\n", 1_000_000),
+    "trailers": (_CHUNKED + b"2\r\nab\r\n0\r\nX-Late: 1\r\nX-Later: 2\r\n\r\n", 2),
+    "head of short lines": (_START + _fields(3180) + _LENGTH % 2 + b"ab", 2),
+    "head of one long line": (
+        _START + b"Long: " + b"x" * 15_900 + b"\r\n" + _LENGTH % 2 + b"ab",
+        2,
+    ),
+}
+
+
+@pytest.mark.parametrize("name", SINGLE_REQUESTS)
+def test_single_request_within_the_limits_is_served_in_calm(name, tmp_path):
+    """Guards against limits that refuse a request whatever else the process holds."""
+    data, length = SINGLE_REQUESTS[name]
+
+    async def scenario(gateways, clients):
+        reader, writer = await asyncio.open_connection(gateways.host(0), CALLERS)
+        writer.write(data)
+        assert await reader.readline() == b"HTTP/1.1 200 OK\r\n"
+        writer.close()
+        head, received = gateways.servers[0].requests[-1]
+        assert received == length and "x-late" not in head.lower()
+
+    run(scenario, tmp_path)
