Take a response with a status outside of 100 to 599 as malformed

A backend server in trouble that answered with status 000 had that answer passed on to the caller, who learns nothing from it. 001, 099, 600 and 999 were passed on too. The parser accepts any three digits, and nothing checked them.

Such a response is now malformed: its connection is closed, the request may have run, an idempotent one is sent again, and the caller of another one gets 502. It counts as malformed also if it claims that the request has not run. Responses that other VMs pass on are checked in the same way. The store's responses already count only with the statuses that they may have.

11 new cases fail without the change and hold with it.

--- a/src/hibiscushaven/delivery/relay.py
+++ b/src/hibiscushaven/delivery/relay.py
@@ -27,6 +27,7 @@
     RelayRequest,
     RelayWaiting,
 )
+from .response_limits import is_http_status
 
 __all__ = ["RelayClient", "RelayError", "RelayResponse"]
 
@@ -239,8 +240,10 @@
             # Late messages of a request that was cancelled or failed are discarded.
             return
         match message:
-            case RelayHead():
+            case RelayHead() if is_http_status(message.status):
                 exchange.head = message
+            case RelayHead():
+                exchange.fail(RelayError(Outcome.UNKNOWN, f"status {message.status}"))
             case RelayChunk():
                 self._add_chunk(exchange, message.data)
             case RelayEnd():
--- a/src/hibiscushaven/delivery/response_limits.py
+++ b/src/hibiscushaven/delivery/response_limits.py
@@ -6,7 +6,7 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http_exceptions import HttpProcessingError
 
-__all__ = ["BoundedResponseHandler"]
+__all__ = ["BoundedResponseHandler", "is_http_status"]
 
 # Bytes of a response that are not part of its body, such as heads, interim responses and trailers.
 MAX_OVERHEAD_BYTES = 64 * 1024
@@ -16,6 +16,19 @@
 MAX_FRAMING_RATIO = 16
 
 
+def is_http_status(status: int) -> bool:
+    """Return whether a status belongs to one of the five classes of HTTP.
+
+    Examples
+    ========
+
+    >>> is_http_status(204), is_http_status(0), is_http_status(600)
+    (True, False, False)
+
+    """
+    return 100 <= status <= 599
+
+
 class BoundedResponseHandler(ResponseHandler):
     """Protocol that closes a connection whose bytes do not add up to a response.
 
@@ -47,6 +60,9 @@
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Queue a message that was parsed."""
         message = data[0]
+        if not is_http_status(message.code):
+            self._reject(f"status {message.code:03}")
+            return
         if message.code >= 200:
             self._has_head = True
             if self._id_header is not None and self._id_header not in message.headers:
@@ -69,13 +85,12 @@
             return
         body_bytes = payload.total_bytes if payload is not None else 0
         if self._received_bytes > MAX_OVERHEAD_BYTES + MAX_FRAMING_RATIO * body_bytes:
-            self._reject()
+            self._reject(f"{self._received_bytes} bytes that are no response")
 
     def _is_response_complete(self) -> bool:
         return self._has_head and (self._payload is None or self._payload.is_eof())
 
-    def _reject(self) -> None:
-        detail = f"{self._received_bytes} bytes that are no response"
+    def _reject(self, detail: str) -> None:
         if self._payload is not None:
             self._payload.set_exception(aiohttp.ClientPayloadError(detail))
         self.set_exception(HttpProcessingError(code=400, message=detail))
--- a/src/hibiscushaven/delivery/tests/test_relay.py
+++ b/src/hibiscushaven/delivery/tests/test_relay.py
@@ -330,6 +330,19 @@
         assert env.client.in_progress == 0
 
 
+@in_loop
+async def test_status_outside_of_the_classes_of_http_is_no_response() -> None:
+    """Guards against an answer whose status tells the caller nothing."""
+    async with relay_env() as env:
+        task = asyncio.create_task(env.expect_error(env.request("/held")))
+        await env.owner.until(lambda: len(env.owner.requests) == 1)
+        number = env.owner.requests[0].exchange
+        exchange = env.client._exchanges[number]
+        await env.client._receive(exchange.connection, RelayHead(number, 0, ()))
+        assert (await task).outcome is Outcome.UNKNOWN
+        env.owner.released.set()
+
+
 @in_loop
 async def test_deadline_cancels_at_the_peer() -> None:
     """Guards against a handler that continues after the request has timed out."""
--- a/src/hibiscushaven/platform/tests/test_faulty_backends.py
+++ b/src/hibiscushaven/platform/tests/test_faulty_backends.py
@@ -128,6 +128,16 @@
     assert results[0].outcome is Outcome.UNKNOWN
 
 
+@pytest.mark.parametrize("status", ["000", "001", "099", "600", "999"])
+@pytest.mark.parametrize("fields", [{}, {"Not_Executed": "1"}])
+def test_status_outside_of_the_classes_of_http_is_no_response(status, fields):
+    """Guards against an answer whose status tells the caller nothing."""
+    script = response(status=status, **fields)
+    results, stand_in = attempt_all([script, response()], count=2, method="POST", body=b"order")
+    assert results[0].kind is FailureKind.MALFORMED and results[0].outcome is Outcome.UNKNOWN
+    assert results[1] == (200, b"whole") and stand_in.connections == 2
+
+
 @pytest.mark.parametrize("status", [400, 429, 503])
 def test_refusal_that_names_its_request_is_believed(status):
     """Guards against requests that fail although another server could run them."""
