Evict also connections whose client has reset them

A client that resets its connection while its request is refused made the eviction fail: the end of the stream cannot be sent on it (ENOTCONN), and the connections behind it in the same pass were not evicted. Bytes that are no request behind a rejected head got a second response, which failed after the end of the stream had been sent.

A connection that cannot be ended is aborted, and a rejected request is the last that is answered on its connection.

--- a/src/hibiscushaven/process/caller_protocol.py
+++ b/src/hibiscushaven/process/caller_protocol.py
@@ -124,6 +124,8 @@
 
     def send_400_response(self, msg: str) -> None:
         """Respond to bytes that are no request, after the response in progress if there is one."""
+        if self._is_rejected:
+            return
         cycle = self.cycle
         if cycle is not None and not cycle.response_complete:
             if not cycle.more_body:
@@ -507,6 +509,10 @@
             b"HTTP/1.1 %d %b\r\n%bcontent-length: 0\r\nconnection: close\r\n\r\n"
             % (status, _REASON_PHRASES[status], lines)
         )
-        if self.transport.can_write_eof():
+        try:
             self.transport.write_eof()
+        except OSError:
+            # The client has reset the connection.
+            self.transport.abort()
+            return
         self.loop.call_later(LINGER_S, self.transport.close)
--- a/src/hibiscushaven/process/tests/connections.py
+++ b/src/hibiscushaven/process/tests/connections.py
@@ -1,6 +1,7 @@
 """Connections of callers without a network and in virtual time."""
 
 import asyncio
+import errno
 from types import SimpleNamespace
 
 import uvicorn
@@ -46,7 +47,7 @@
 
     def __init__(self):
         self.written = b""
-        self.is_closed = self.is_paused = self.is_aborted = False
+        self.is_closed = self.is_paused = self.is_aborted = self.is_reset = False
 
     def write(self, data):
         self.written += data
@@ -63,10 +64,9 @@
     def is_closing(self):
         return self.is_closed
 
-    def can_write_eof(self):
-        return True
-
     def write_eof(self):
+        if self.is_reset:
+            raise OSError(errno.ENOTCONN, "not connected")
         self.written += b"|"
 
     def pause_reading(self):
--- a/src/hibiscushaven/process/tests/test_caller_protocol.py
+++ b/src/hibiscushaven/process/tests/test_caller_protocol.py
@@ -51,6 +51,18 @@
     run_scenario(scenario)
 
 
+def test_rejected_head_is_the_last_that_is_answered(run_scenario):
+    """Guards against a second response to the bytes behind a rejected head."""
+
+    async def scenario(connection):
+        head = b"GET /x/1 HTTP/1.1\r\nLong: " + b"x" * 300 + b"\r\n\r\n"
+        await connection.receive(head + b"\x00 no request\r\n\r\n")
+        assert connection.written.startswith(b"HTTP/1.1 431 ")
+        assert connection.written.count(b"HTTP/1.1 ") == 1
+
+    run_scenario(scenario)
+
+
 def test_slow_head_does_not_renew_its_timeout(run_scenario):
     """Guards against a head sent byte by byte that holds its connection indefinitely."""
 
--- a/src/hibiscushaven/process/tests/test_connection_budget.py
+++ b/src/hibiscushaven/process/tests/test_connection_budget.py
@@ -81,6 +81,23 @@
     run_process(scenario, 300 * KIB)
 
 
+def test_connection_that_its_client_has_reset_is_evicted_like_others(run_process):
+    """Guards against an eviction that fails, and ends those behind it."""
+
+    async def scenario(process):
+        gone, stalled, arriving = (process.connect() for _ in range(3))
+        await send_body(gone, BODY_BYTES, stops_short=True)
+        process.clock.time += 1.0
+        await send_body(stalled, BODY_BYTES, stops_short=True)
+        process.clock.time += 1.0
+        gone.transport.is_reset = True
+        await send_body(arriving, 2 * BODY_BYTES, stops_short=True)
+        assert gone.transport.is_aborted and stalled.written.startswith(b"HTTP/1.1 503 ")
+        assert arriving.written == b"" and not arriving.transport.is_closed
+
+    run_process(scenario, 330 * KIB)
+
+
 def test_single_body_is_served_whatever_it_holds(run_process):
     """Guards against a fixed limit that refuses a single request in calm."""
 
