Play crowds of clients at random, and limit the connections of entry VMs

`python -m tests.processes.random_crowds` plays crowds of all kinds and parts of messages in a random order against two gateways that are stopped, killed, frozen and reloaded while limits change and ordinary callers keep their connections. No process may end by itself, exceed its memory or descriptors or log an error, and no request may run that was refused, or twice.

The HTTP port of `hibiscushaven entry` has the same limits and a budget now. A body in small pieces is collected in one buffer there too.

--- a/src/hibiscushaven/entry/bodies.py
+++ b/src/hibiscushaven/entry/bodies.py
@@ -21,17 +21,17 @@
     if _is_announced_too_long(request, limit):
         # With ``Expect: 100-continue`` the caller does not send the body after an error.
         return too_long
-    parts: list[bytes] = []
+    body = bytearray()
     size = 0
     async for chunk in request.stream():
         size += len(chunk)
         if size > limit + _MAX_DISCARDED_BYTES:
             break
         if size <= limit:
-            parts.append(chunk)
+            body += chunk
         else:
-            parts.clear()
-    return too_long if size > limit else b"".join(parts)
+            body.clear()
+    return too_long if size > limit else bytes(body)
 
 
 def _is_announced_too_long(request: Request, limit: int) -> bool:
--- a/src/hibiscushaven/entry/daemon.py
+++ b/src/hibiscushaven/entry/daemon.py
@@ -7,7 +7,7 @@
 
 from hibiscushaven.logs import configure_logging
 from hibiscushaven.operators import OperatorContext, TeamDirectory, operator_routes
-from hibiscushaven.process import HttpServer, on_stop
+from hibiscushaven.process import ConnectionBudget, ConnectionLimits, HttpServer, on_stop
 from hibiscushaven.settings import Settings
 from hibiscushaven.tablestore import HttpPlatform, Platform
 
@@ -24,6 +24,11 @@
 # platform's table is unavailable.
 _MAX_SETTLE_S = 30.0
 
+# Limits of one connection of a caller; the interfaces check the lengths of bodies.
+_CONNECTION_LIMITS = ConnectionLimits(
+    max_head_bytes=64 * 1024, head_timeout_s=10.0, idle_timeout_s=15.0
+)
+
 
 class EntryDaemon:
     """One entry VM with its HTTP interfaces.
@@ -50,7 +55,13 @@
             self._node.clock,
             self._node.ports.new_id,
         )
-        self._server = HttpServer(self._build_app(), settings.host, settings.http_port)
+        self._server = HttpServer(
+            self._build_app(),
+            settings.host,
+            settings.http_port,
+            limits=lambda: _CONNECTION_LIMITS,
+            budget=ConnectionBudget(),
+        )
 
     @property
     def node(self) -> EntryNode:
--- a/tests/processes/crowds.py
+++ b/tests/processes/crowds.py
@@ -117,6 +117,36 @@
     return Crowd(30, b"\xc6" + struct.pack(">I", length) + bytes(4 * 1024 * 1024), (PULLS,))
 
 
+_PIECES = (
+    _HEAD,
+    _CHUNKED,
+    _OFFER,
+    b"GET /x/1 HTTP/1.1\r\nHost: a.example\r\n\r\n",
+    b"Content-Length: 2\r\n",
+    b"Content-Length: 900000\r\n",
+    b"Expect: 100-continue\r\n",
+    b"Long: " + b"x" * 15_000,
+    b"1f:\r\n" * 2000,
+    b"\r\n",
+    b"\r\n" * 500,
+    b"2\r\nab\r\n",
+    b"2\r\nab\r\n" * 3000,
+    b"1;" + b"x" * 5000 + b"\r\ny\r\n",
+    b"0\r\n",
+    b"X-Late: 1\r\n",
+    b"x" * 30_000,
+    b"\x00\xff",
+    struct.pack(">BI", 0xC6, 8 * 1024 * 1024 - 100),
+)
+
+
+def random_crowd(rng):
+    """Return clients that send parts of messages in a random order to random ports."""
+    ports = rng.sample((CALLERS, CALLERS, READINESS, DIRECTORY, STATUS, METRICS, PULLS, RELAYS), 3)
+    data = b"".join(rng.choices(_PIECES, k=rng.randrange(1, 60)))
+    return Crowd(rng.randrange(1, 100), rng.choice((_HEAD, _CHUNKED, b"")) + data, tuple(ports))
+
+
 class BodyServer:
     """Backend server that reads whole requests.
 
--- a/tests/processes/gateways.py
+++ b/tests/processes/gateways.py
@@ -123,9 +123,7 @@
 
     async def __aenter__(self):
         self._store_port = await self.store.start()
-        configuration = configuration_row(7, [route_item(**self._route)])
-        configuration["Resources"][-1]["Spec"].update(self._limits)
-        self.store.put("op", "config", configuration)
+        self.configure(7, {})
         for number in range(self._server_count):
             host = f"{self.network}.{200 + number}"
             server = self._make_server(f"i-{number}", host, self.store)
@@ -149,6 +147,16 @@
             server.close()
         await self.store.close()
 
+    def configure(self, version, limits):
+        """Put a configuration in force whose limits of callers differ from those of the others."""
+        configuration = configuration_row(version, [route_item(**self._route)])
+        configuration["Resources"][-1]["Spec"].update({**self._limits, **limits})
+        self.store.put("op", "config", configuration)
+
+    def log(self, vm):
+        """Return what the processes of a VM have logged."""
+        return self._logs.path(f"vm-{vm}").read_text(errors="replace")
+
     def signal(self, vm, number):
         """Send a signal to the process of a VM."""
         self._processes[vm].send_signal(number)
--- a/tests/processes/test_crowds.py
+++ b/tests/processes/test_crowds.py
@@ -25,9 +25,12 @@
 )
 from .deployment import TEST_TIMEOUT_S
 from .gateways import Gateways
+from .random_crowds import play
 
 MEMORY_MB = 128
 MAX_DESCRIPTORS = 300
+SOAK_SEEDS = (1, 2)
+SOAK_S = 12.0
 ROUTE = {"Timeout": "60000ms", "Kind": "safe", "MaxAttempts": 1}
 
 pytestmark = pytest.mark.alone
@@ -122,3 +125,10 @@
         assert received == length and "x-late" not in head.lower()
 
     run(scenario, tmp_path)
+
+
+@pytest.mark.parametrize("seed", SOAK_SEEDS)
+def test_random_crowds_break_no_rule(seed, tmp_path):
+    """Guards against mixes of clients, signals, restarts and changed limits; a short soak."""
+    statuses, faults = asyncio.run(play(seed, SOAK_S, tmp_path))
+    assert statuses[200] and not faults
