Reject entries of backend servers with fields missing

Three of these fields had defaults, and the version was not read at all. Every server writes all of them, so that an entry without one is of another writer and names no server. The decoder now requires them.

Six new cases fail without the change. The odd entries of test_server_with_an_invalid_field_is_rejected have the other fields now, so that each is rejected for what it is about.

--- a/src/hibiscushaven/platform/decode.py
+++ b/src/hibiscushaven/platform/decode.py
@@ -183,7 +183,9 @@
         state = status["State"]
         if state not in ("ready", "draining"):
             raise ValueError(f"unknown state {state!r}")
-        _checked_whole(status.get("Sequence", 0))
+        # They decide nothing, but an entry without them is of another writer.
+        _checked_text(info["Version"])
+        _checked_whole(status["Sequence"])
         return ServerRecord(
             server_id=server_id,
             service=_checked_name(info["Service"]),
@@ -191,8 +193,8 @@
             failure_domain=_checked_name(info["Zone"]),
             slots=_checked_count(info["Concurrency"]),
             is_leaving=state == "draining",
-            cold_left_s=max(0.0, parse_duration_s(status.get("WarmupLeft", "0ms"))),
-            started_unix_ms=_checked_whole(body.get("born", 0)),
+            cold_left_s=max(0.0, parse_duration_s(status["WarmupLeft"])),
+            started_unix_ms=_checked_whole(body["born"]),
         )
     except FIELD_ERRORS as error:
         text = f"malformed backend server {server_id[:80]!r}: {describe(error)}"
--- a/src/hibiscushaven/platform/tests/test_decode.py
+++ b/src/hibiscushaven/platform/tests/test_decode.py
@@ -77,10 +77,10 @@
         {"Info": {}},
         {"Status": {"State": "asleep"}},
         {"born": "yesterday"},
-        {"Info": {"Service": "s", "Zone": "z", "Concurrency": "4"}},
-        {"Info": {"Service": "s", "Zone": "z", "Concurrency": 2**62}},
-        {"Status": {"State": "ready", "Sequence": "1"}},
-        {"Status": {"State": "ready", "Sequence": 2**64}},
+        {"Info": {"Service": "s", "Version": "v1", "Zone": "z", "Concurrency": "4"}},
+        {"Info": {"Service": "s", "Version": "v1", "Zone": "z", "Concurrency": 2**62}},
+        {"Status": {"State": "ready", "Sequence": "1", "WarmupLeft": "0ms"}},
+        {"Status": {"State": "ready", "Sequence": 2**64, "WarmupLeft": "0ms"}},
     ],
 )
 def test_server_with_an_invalid_field_is_rejected(change):
@@ -89,6 +89,28 @@
         decode_server("s1", {**server_row(), **change})
 
 
+FIELDS = [
+    ("Address",),
+    ("born",),
+    *(("Info", name) for name in ("Service", "Version", "Zone", "Concurrency")),
+    *(("Status", name) for name in ("State", "Sequence", "WarmupLeft")),
+]
+
+
+@pytest.mark.parametrize("path", FIELDS, ids="-".join)
+@pytest.mark.parametrize("odd", ["missing", None, [1]])
+def test_server_whose_entry_lacks_a_field_is_rejected(path, odd):
+    """Guards against requests to a server of another service that another writer names."""
+    row = server_row()
+    holder = row[path[0]] if len(path) == 2 else row
+    if odd == "missing":
+        del holder[path[-1]]
+    else:
+        holder[path[-1]] = odd
+    with pytest.raises(DecodeError, match="malformed backend server"):
+        decode_server("s1", row)
+
+
 @pytest.mark.parametrize(
     "text",
     [
