Separate what a connection receives from the protocol that receives it

`MessageSize` counts the bytes of a request in transit and in memory, `RequestProtocol` has a module of its own, and `CallerProtocol` decides what to do about them. A process that is not told its memory takes that of a small VM, 192 MB, and not that of the machine, which it may share. Connections whose reads are expensive account for what waits for them in the kernel. Requests rejected since there is no room are counted with the evictions. Limits of the ports are derived once for each configuration.

A body in the same read as its head no longer counts as part of the trailers behind it (test_trailers_are_counted_without_the_body).

--- a/src/hibiscushaven/commands/gateway.py
+++ b/src/hibiscushaven/commands/gateway.py
@@ -25,7 +25,7 @@
     "--memory-mb",
     type=click.FloatRange(min=1),
     envvar="HIBISCUSHAVEN_MEMORY_MB",
-    help="Memory of the process in MB; by default that of the machine.",
+    help="Memory of the process in MB; by default that of a small VM, 192.",
 )
 @click.option(
     "--max-descriptors",
--- a/src/hibiscushaven/gateway/daemon.py
+++ b/src/hibiscushaven/gateway/daemon.py
@@ -121,7 +121,7 @@
     :param backends: format of requests to backend servers.
     :param notice_reader: reads what backend servers say about themselves.
     :param directory: format of the directory.
-    :param machine: memory and descriptors of the process; by default those of the machine.
+    :param machine: memory and descriptors of the process.
     """
 
     def __init__(
@@ -170,7 +170,7 @@
         )
         self._app = CallerApp(self._forwarder, callers, clock)
         relay_app = CallerApp(self._forwarder, RelayedCallers(callers), clock)
-        self._caller_limits = _connection_limits(CallerLimits(idle_timeout_s=CALLER_IDLE_S))
+        self._set_limits(CallerLimits(idle_timeout_s=CALLER_IDLE_S))
         self._servers = [
             self._make_server(
                 self._app,
@@ -183,7 +183,7 @@
             self._make_server(
                 relay_app,
                 options.relay_at,
-                lambda: _relay_limits(self._caller_limits),
+                lambda: self._relay_limits,
                 id_header=callers.id_header,
                 echoed_headers=(RelayDialect.id_header,),
             ),
@@ -291,7 +291,24 @@
     def _on_operator(self, operator: OperatorState) -> None:
         if operator.configuration is not None:
             self._forwarder.set_configuration(operator.configuration)
-            self._caller_limits = _connection_limits(operator.configuration.limits)
+            self._set_limits(operator.configuration.limits)
+
+    def _set_limits(self, limits: CallerLimits) -> None:
+        """Apply the configuration's limits to the connections of each port."""
+        self._caller_limits = ConnectionLimits(
+            limits.max_header_bytes,
+            limits.header_timeout_s,
+            limits.idle_timeout_s,
+            limits.max_body_bytes,
+        )
+        self._service_limits = replace(self._caller_limits, idle_timeout_s=CALLER_IDLE_S)
+        # Each field of a relayed head can be a byte longer, and there are those between VMs. The
+        # body is checked once it is known that the peer's configuration is not newer.
+        self._relay_limits = ConnectionLimits(
+            2 * limits.max_header_bytes + RELAY_FIELDS_BYTES,
+            limits.header_timeout_s,
+            CALLER_IDLE_S,
+        )
 
     def _on_links_change(self, is_isolated: bool) -> None:
         if is_isolated:
@@ -317,7 +334,7 @@
             address.port,
             CALLER_IDLE_S,
             adds_date_header=False,
-            limits=limits or (lambda: replace(self._caller_limits, idle_timeout_s=CALLER_IDLE_S)),
+            limits=limits or (lambda: self._service_limits),
             budget=self._budget,
             **options,
         )
@@ -411,23 +428,3 @@
         node.links,
         PeerRelay(relay_client, node.relay_peers, metrics, clock.now),
     )
-
-
-def _connection_limits(limits: CallerLimits) -> ConnectionLimits:
-    return ConnectionLimits(
-        limits.max_header_bytes,
-        limits.header_timeout_s,
-        limits.idle_timeout_s,
-        limits.max_body_bytes,
-    )
-
-
-def _relay_limits(limits: ConnectionLimits) -> ConnectionLimits:
-    """Return the limits for requests that other VMs relay.
-
-    Each field of a relayed head can be a byte longer, and there are those between VMs. The length
-    of the body is checked once it is known that the peer's configuration is not newer.
-    """
-    return ConnectionLimits(
-        2 * limits.max_head_bytes + RELAY_FIELDS_BYTES, limits.head_timeout_s, CALLER_IDLE_S
-    )
--- a/src/hibiscushaven/process/caller_protocol.py
+++ b/src/hibiscushaven/process/caller_protocol.py
@@ -7,52 +7,31 @@
 from math import inf
 from typing import Any
 
-import httptools
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol, RequestResponseCycle
+from uvicorn.protocols.http.httptools_impl import RequestResponseCycle
 
 from .connection_budget import ConnectionBudget, Part
+from .message_size import MessageSize
 from .read_flow import ReadFlow
-from .request_parser import RequestParser
+from .request_protocol import RequestProtocol
 
-__all__ = ["CallerProtocol", "ConnectionLimits", "RequestProtocol"]
+__all__ = ["CallerProtocol", "ConnectionLimits"]
 
 # Time for a caller to read the response to a rejected request before its connection is closed.
 # Closing a connection with unread bytes resets it, which can lose the response.
 LINGER_S = 1.0
 
-# Colon behind the name of a header field, and the line break after its value.
-_FIELD_OVERHEAD_BYTES = 3
-
 # Bytes that are read at once. The memory that they take once parsed is known only afterwards.
 READ_BYTES = 16 * 1024
 
-# Parsed fields and pieces of a body above which a read counts as expensive.
-EXPENSIVE_EVENTS = 256
-
-# Memory of a header field beside its name and value, which exist as bytes and as text.
-FIELD_BYTES = 320
-
-# Memory of a request beside its head and body: while it arrives or is queued, and in progress with
-# its connection to a backend server.
-MESSAGE_BYTES = 3 * 1024
+# Memory of a request in progress beside itself, with its connection to a backend server.
 IN_PROGRESS_BYTES = 32 * 1024
 
-# Bodies grow in steps while they arrive. In progress they exist twice, the second time in the
-# buffer of the connection to a backend server.
-ARRIVING_BODY_FACTOR = 1.25
-BODY_FACTOR = 2
-
 # Bytes that the kernel holds for a connection from which is not read, or to which is not written.
 KERNEL_BUFFER_BYTES = 64 * 1024
 
 # Queued requests of a connection above which no more are read from it.
 MAX_QUEUED_REQUESTS = 4
 
-# Bytes of framing of a body, such as extensions of chunks: a fixed number, and some for each byte
-# of the body, since a chunk of one byte has five of them.
-MAX_FRAMING_BYTES = 64 * 1024
-MAX_FRAMING_RATIO = 16
-
 # Retry delay of callers whose request this VM has no memory for; other VMs may accept it at once.
 OVERLOAD_RETRY_S = 0.2
 
@@ -80,83 +59,6 @@
     max_body_bytes: float = inf
 
 
-class RequestProtocol(HttpToolsProtocol):
-    """Parses requests, ignoring offers of other protocols.
-
-    Explanation
-    ===========
-
-    The response to a request that is in progress precedes the one to bytes that are no request,
-    since callers take each response for that to their earliest request without one.
-
-    Trailers are no header fields: what a request is and who sent it is decided by its head.
-    """
-
-    def __init__(self, *args: Any, **options: Any) -> None:
-        super().__init__(*args, **options)
-        self.parser = RequestParser(self)
-        self._is_in_head = False
-        self._is_rejected = False
-        self._running_cycle: RequestResponseCycle | None = None
-
-    def data_received(self, data: bytes) -> None:
-        if self._is_rejected:
-            return
-        try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserError:
-            self.logger.warning("bytes of a caller that are no request")
-            self.send_400_response("Invalid HTTP request received.")
-
-    def on_message_begin(self) -> None:
-        # Blank lines between requests do not end the idle time.
-        self._unset_keepalive_if_required()
-        self._is_in_head = True
-        super().on_message_begin()
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        if self._is_in_head:
-            super().on_header(name, value)
-
-    def on_headers_complete(self) -> None:
-        self._is_in_head = False
-        super().on_headers_complete()
-
-    def send_400_response(self, msg: str) -> None:
-        """Respond to bytes that are no request, after the response in progress if there is one."""
-        if self._is_rejected:
-            return
-        cycle = self.cycle
-        if cycle is not None and not cycle.response_complete:
-            if not cycle.more_body:
-                self._is_rejected = True
-                cycle.keep_alive = False
-                return
-            if self._drop_queued_request():
-                return
-            # The bytes are those of the body, so that the request has not been forwarded.
-            cycle.disconnected = True
-            cycle.message_event.set()
-        super().send_400_response(msg)
-
-    def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
-        self._running_cycle = cycle
-        super()._start_asgi_task(cycle, app)
-
-    def _drop_queued_request(self) -> bool:
-        """Drop the request that is being received if an earlier one is in progress.
-
-        :returns: whether there is one. The connection ends after the earlier requests.
-        """
-        if not self.pipeline:
-            return False
-        self.pipeline.popleft()
-        self.cycle = self.pipeline[0][0] if self.pipeline else self._running_cycle
-        self.cycle.keep_alive = False
-        self._is_rejected = True
-        return True
-
-
 class CallerProtocol(RequestProtocol):
     """Parses requests, and closes connections that exceed the limits.
 
@@ -196,18 +98,7 @@
         self._id_header = id_header.encode()
         self._echoed_headers = {name.encode() for name in (id_header, *echoed_headers) if name}
         self._arrival_timer: asyncio.TimerHandle | None = None
-        # The message that is being received.
-        self._is_receiving = False
-        self._head_memory_bytes = 0
-        self._body_bytes = 0
-        # Lengths of its parsed head, of all its head, and of its body with the framing.
-        self._parsed_bytes = 0
-        self._head_bytes = 0
-        self._framed_body_bytes = 0
-        # Bytes since anything was parsed, and what was parsed of the current read.
-        self._unparsed_bytes = 0
-        self._events = 0
-        self._begun_messages = 0
+        self._size = MessageSize()
         # Memory of queued requests that are complete, the latest first as in ``pipeline``.
         self._queued_memory_bytes: deque[int] = deque()
 
@@ -229,36 +120,23 @@
         if self._is_rejected:
             return
         self._stop_arrival_timer()
-        is_first = not self._is_receiving
-        if self._is_in_head:
-            self._head_bytes += len(data)
-        else:
-            self._framed_body_bytes += len(data)
-        self._events = self._begun_messages = 0
+        self._size.begin_read(len(data), self._is_in_head)
         super().data_received(data)
-        self._unparsed_bytes = 0 if self._events else self._unparsed_bytes + len(data)
-        if is_first and self._begun_messages == 1:
-            self._head_bytes = len(data)
-        if self._is_rejected or self.transport.is_closing():
-            self._record_memory()
-            return
-        self._check_arrival()
+        self._size.end_read(len(data), self._is_in_head)
+        if not self._is_rejected and not self.transport.is_closing():
+            self._check_arrival()
         self._record_memory()
         self._budget.relieve()
-        if self._events > EXPENSIVE_EVENTS:
+        if self._size.is_expensive:
             self._budget.turns.wait(self.flow)
 
     def on_message_begin(self) -> None:
         if self._is_rejected:
             return
-        self._is_receiving = True
+        self._size.begin_message()
         self._head_started_at = self.loop.time()
         if not self._has_request_in_progress():
             self._account.since = self._budget.now()
-        self._head_memory_bytes = self._body_bytes = 0
-        self._parsed_bytes = self._head_bytes = self._framed_body_bytes = 0
-        self._begun_messages += 1
-        self._events += 1
         super().on_message_begin()
         self.scope["state"]["try_hold_response"] = self._try_hold_response
         self.scope["state"]["drop_queued_requests"] = self._drop_queued_requests_if_any
@@ -266,54 +144,48 @@
     def on_url(self, url: bytes) -> None:
         if self._is_rejected:
             return
-        self._parsed_bytes += len(url)
-        self._head_memory_bytes += 3 * len(url)
+        self._size.add_target(len(url))
         super().on_url(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self._is_rejected:
             return
-        self._events += 1
-        self._parsed_bytes += len(name) + len(value) + _FIELD_OVERHEAD_BYTES
+        self._size.add_field(name, value, self._is_in_head)
         super().on_header(name, value)
-        if self._is_in_head:
-            self._head_memory_bytes += FIELD_BYTES + 2 * (len(name) + len(value))
-        elif self._parsed_bytes > self._limits().max_head_bytes:
+        if not self._is_in_head and self._size.parsed_bytes > self._limits().max_head_bytes:
             self._reject(431)
 
     def on_headers_complete(self) -> None:
         if self._is_rejected:
             return
         limits = self._limits()
-        if self._parsed_bytes > limits.max_head_bytes:
+        if self._size.parsed_bytes > limits.max_head_bytes:
             self._reject(431)
         elif self._announced_body_bytes() > limits.max_body_bytes:
             self._reject(413)
         else:
-            self._parsed_bytes = 0
+            self._size.end_head()
             super().on_headers_complete()
 
     def on_body(self, body: bytes) -> None:
         if self._is_rejected:
             return
-        self._events += 1
-        self._body_bytes += len(body)
+        self._size.add_body(len(body))
         super().on_body(body)
-        if self._body_bytes > self._limits().max_body_bytes:
+        if self._size.body_bytes > self._limits().max_body_bytes:
             self._reject(413)
 
     def on_message_complete(self) -> None:
         if self._is_rejected:
             return
-        self._is_receiving = False
+        self._size.is_receiving = False
         super().on_message_complete()
         if self.cycle.response_complete:
             return
-        memory_bytes = MESSAGE_BYTES + self._head_memory_bytes + BODY_FACTOR * self._body_bytes
         if self.cycle is self._running_cycle:
-            self._admit(memory_bytes)
+            self._admit(self._size.complete_memory_bytes)
         else:
-            self._queued_memory_bytes.appendleft(memory_bytes)
+            self._queued_memory_bytes.appendleft(self._size.complete_memory_bytes)
 
     def on_response_complete(self) -> None:
         self.timeout_keep_alive = self._limits().idle_timeout_s
@@ -322,7 +194,7 @@
         self._account.has_served = True
         self._account.since = self._budget.now()
         super().on_response_complete()
-        if self._is_receiving:
+        if self._size.is_receiving:
             self._unset_keepalive_if_required()
         self._record_memory()
 
@@ -344,7 +216,7 @@
         if not self.flow.write_paused and self._has_request_in_progress():
             self._drop_queued_requests()
             self._record_memory()
-        elif not self.flow.write_paused and self._is_receiving and not self._is_rejected:
+        elif not self.flow.write_paused and self._size.is_receiving and not self._is_rejected:
             self._reject(503)
             self._record_memory()
             if is_descriptor_needed:
@@ -361,12 +233,16 @@
 
     def _admit(self, memory_bytes: int) -> None:
         """Let the running request proceed, which has arrived completely, if there is room."""
-        if not self._account.try_hold(Part.REQUEST, memory_bytes + IN_PROGRESS_BYTES):
+        cycle = self._running_cycle
+        amount = memory_bytes + IN_PROGRESS_BYTES
+        if cycle.response_started:
+            self._account.hold(Part.REQUEST, amount)
+        elif not self._account.try_hold(Part.REQUEST, amount):
+            self._budget.count("room")
             self._drop_queued_requests()
-            self._disconnect_app(self._running_cycle)
-            headers = self._running_cycle.scope["headers"]
-            self._log_rejection(503, headers)
-            self._respond(503, headers)
+            self._disconnect_app(cycle)
+            self._log_rejection(503, cycle.scope["headers"])
+            self._respond(503, cycle.scope["headers"])
 
     def _try_hold_response(self, size: int) -> bool:
         """Return whether there is room for a part of the response until it is written."""
@@ -391,26 +267,28 @@
     def _check_arrival(self) -> None:
         """Reject a message that exceeds the limits, or start the timer for its next bytes."""
         limits = self._limits()
-        framing_bytes = self._framed_body_bytes - MAX_FRAMING_RATIO * self._body_bytes
         if self._is_in_head:
-            if max(self._head_bytes, self._parsed_bytes) > limits.max_head_bytes:
+            if self._size.head_bytes > limits.max_head_bytes:
                 self._reject(431)
                 return
             remaining_s = self._head_started_at + limits.head_timeout_s - self.loop.time()
             self._start_arrival_timer(remaining_s, lambda: self._reject(408))
-        elif framing_bytes > MAX_FRAMING_BYTES or self._unparsed_bytes > limits.max_head_bytes:
+        elif self._size.has_excessive_framing or self._size.unparsed_bytes > limits.max_head_bytes:
             self.logger.warning("bytes of a caller that are no request")
             self.send_400_response("Invalid HTTP request received.")
-        elif self._is_receiving:
+        elif self._size.is_receiving:
             self._start_arrival_timer(limits.idle_timeout_s, self._on_body_timeout)
 
     def _record_memory(self) -> None:
         """Record what the connection holds, beside the request in progress."""
         head_bytes = body_bytes = queued_bytes = 0
-        if self._is_receiving and not self._is_rejected:
-            head_bytes = MESSAGE_BYTES + self._head_memory_bytes + self._unparsed_bytes
+        if self._size.is_receiving and not self._is_rejected:
+            head_bytes = self._size.head_memory_bytes
             if self._is_in_head or not self.cycle.response_complete:
-                body_bytes = int(ARRIVING_BODY_FACTOR * self._body_bytes)
+                body_bytes = self._size.body_memory_bytes
+            if self._size.is_expensive:
+                # More of it waits in the kernel while others are read.
+                body_bytes += KERNEL_BUFFER_BYTES
         if self._queued_memory_bytes:
             queued_bytes = sum(self._queued_memory_bytes) + KERNEL_BUFFER_BYTES
         self._account.hold(Part.HEAD, head_bytes)
@@ -469,7 +347,7 @@
         cycle.message_event.set()
 
     def _drop_queued_requests(self) -> None:
-        """Drop all requests behind the running one, whose response ends the connection."""
+        """Drop all requests behind the running one, and let its response end the connection."""
         self._is_rejected = True
         self._stop_arrival_timer()
         self.pipeline.clear()
--- a/src/hibiscushaven/process/connection_budget.py
+++ b/src/hibiscushaven/process/connection_budget.py
@@ -188,9 +188,10 @@
     backend server. If there are too many connections, those that have not completed a request are
     closed first, and the longest idle ones among them.
 
-    :param limits: limits on all connections together; by default those of the machine.
+    :param limits: limits on all connections together; by default those of a small VM.
     :param now: returns the time in seconds.
-    :param on_eviction: called with the reason of each eviction.
+    :param on_eviction: called with the reason of each eviction: ``memory`` or ``connections``; or
+        ``room`` for a request that was rejected before it ran.
     :ivar now: returns the time in seconds.
     :ivar turns: turns of connections whose data is expensive to parse.
     """
@@ -261,6 +262,25 @@
         finally:
             self._is_relieving = False
 
+    def count(self, reason: str) -> None:
+        """Count an eviction, or a request that was rejected since there is no room for it."""
+        self._on_eviction(reason)
+        self._evictions[reason] += 1
+        now = self.now()
+        if now - self._logged_at < _LOG_INTERVAL_S:
+            return
+        self._logged_at = now
+        held = {part.value: amount for part, amount in self._held.items() if amount}
+        _LOG.warning(
+            "connections of clients evicted",
+            extra={
+                "evictions": dict(self._evictions),
+                "connections": len(self._accounts),
+                "held_bytes": held,
+            },
+        )
+        self._evictions.clear()
+
     def _close_connections(self) -> None:
         surplus = len(self._accounts) - self.limits.connections
         count = surplus + int(CONNECTION_EVICTION_FRACTION * self.limits.connections)
@@ -278,22 +298,8 @@
                 self._evict(account, "memory")
 
     def _evict(self, account: ConnectionAccount, reason: str) -> None:
-        self._evictions[reason] += 1
-        self._on_eviction(reason)
         account.evict(is_descriptor_needed=reason == "connections")
-        now = self.now()
-        if now - self._logged_at >= _LOG_INTERVAL_S:
-            self._logged_at = now
-            held = {part.value: amount for part, amount in self._held.items() if amount}
-            _LOG.warning(
-                "connections of clients evicted",
-                extra={
-                    "evictions": dict(self._evictions),
-                    "connections": len(self._accounts),
-                    "held_bytes": held,
-                },
-            )
-            self._evictions.clear()
+        self.count(reason)
 
 
 def _idle_order(account: ConnectionAccount) -> tuple[bool, float]:
--- a/src/hibiscushaven/process/server.py
+++ b/src/hibiscushaven/process/server.py
@@ -9,8 +9,9 @@
 import uvicorn
 from starlette.types import ASGIApp
 
-from .caller_protocol import CallerProtocol, ConnectionLimits, RequestProtocol
+from .caller_protocol import CallerProtocol, ConnectionLimits
 from .connection_budget import ConnectionBudget
+from .request_protocol import RequestProtocol
 from .sockets import ACCEPTS_PER_TURN, listen
 
 __all__ = ["HttpServer"]
--- a/src/hibiscushaven/process/tests/test_caller_protocol.py
+++ b/src/hibiscushaven/process/tests/test_caller_protocol.py
@@ -321,6 +321,18 @@
     run_scenario(scenario)
 
 
+def test_trailers_are_counted_without_the_body(run_scenario):
+    """Guards against a body that counts as part of the trailers behind it."""
+
+    async def scenario(connection):
+        connection.app.may_respond.set()
+        await connection.receive(CHUNKED + b"\r\n12c\r\n" + b"x" * 300 + b"\r\n0\r\n")
+        await connection.receive(b"X-Late: 1\r\n\r\n")
+        assert connection.written.startswith(b"HTTP/1.1 200")
+
+    run_scenario(scenario)
+
+
 def test_trailers_of_a_queued_request_end_the_connection_after_earlier_ones(run_scenario):
     """Guards against a rejection that a caller takes for that of a request in progress."""
 
--- a/src/hibiscushaven/process/tests/test_connection_budget.py
+++ b/src/hibiscushaven/process/tests/test_connection_budget.py
@@ -120,6 +120,7 @@
         await small.receive(HEAD)
         assert second.written.startswith(b"HTTP/1.1 503 ")
         assert b"\r\nrequest-id: id-2\r\n" in second.written and second.app.requests == []
+        assert process.evictions == ["room"]
         for connection in (first, small):
             connection.app.may_respond.set()
             await connection.settle()
