--- a/src/hibiscushaven/gateway/daemon.py
+++ b/src/hibiscushaven/gateway/daemon.py
@@ -367,7 +367,7 @@
     def _status_routes(self) -> list[Route]:
         async def metrics(request: Request) -> Response:
             for part in Part:
-                gauge = self._metrics.gauge("callers_held_bytes", request_class=part.value)
+                gauge = self._metrics.gauge("callers_held_bytes", request_class=part.label)
                 gauge.set(self._budget.held_bytes(part))
             self._metrics.gauge("callers_connections").set(self._budget.connections)
             return PlainTextResponse(to_text(self._metrics))
--- a/src/hibiscushaven/process/caller_protocol.py
+++ b/src/hibiscushaven/process/caller_protocol.py
@@ -189,8 +189,8 @@
 
     def on_response_complete(self) -> None:
         self.timeout_keep_alive = self._limits().idle_timeout_s
-        self._account.hold(Part.REQUEST, 0)
-        self._account.hold(Part.RESPONSE, 0)
+        self._account.hold(Part.IN_PROGRESS, 0)
+        self._account.hold(Part.RESPONSES, 0)
         self._account.has_served = True
         self._account.since = self._budget.now()
         super().on_response_complete()
@@ -236,8 +236,8 @@
         cycle = self._running_cycle
         amount = memory_bytes + IN_PROGRESS_BYTES
         if cycle.response_started:
-            self._account.hold(Part.REQUEST, amount)
-        elif not self._account.try_hold(Part.REQUEST, amount):
+            self._account.hold(Part.IN_PROGRESS, amount)
+        elif not self._account.try_hold(Part.IN_PROGRESS, amount):
             self._budget.count("room")
             self._drop_queued_requests()
             self._disconnect_app(cycle)
@@ -246,7 +246,7 @@
 
     def _try_hold_response(self, size: int) -> bool:
         """Return whether there is room for a part of the response until it is written."""
-        has_room = self._account.try_hold(Part.RESPONSE, size)
+        has_room = self._account.try_hold(Part.RESPONSES, size)
         self._budget.relieve()
         return has_room
 
@@ -291,9 +291,9 @@
                 body_bytes += KERNEL_BUFFER_BYTES
         if self._queued_memory_bytes:
             queued_bytes = sum(self._queued_memory_bytes) + KERNEL_BUFFER_BYTES
-        self._account.hold(Part.HEAD, head_bytes)
-        self._account.hold(Part.BODY, body_bytes)
-        self._account.hold(Part.QUEUE, queued_bytes)
+        self._account.hold(Part.HEADS, head_bytes)
+        self._account.hold(Part.BODIES, body_bytes)
+        self._account.hold(Part.QUEUED, queued_bytes)
         if len(self._queued_memory_bytes) >= MAX_QUEUED_REQUESTS:
             self.flow.hold_reading("queue")
         else:
--- a/src/hibiscushaven/process/connection_budget.py
+++ b/src/hibiscushaven/process/connection_budget.py
@@ -6,7 +6,7 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
-from enum import StrEnum
+from enum import IntEnum
 from typing import Protocol, Self
 
 from .machine import MachineLimits
@@ -48,20 +48,21 @@
 _LOG_INTERVAL_S = 1.0
 
 
-class Part(StrEnum):
+class Part(IntEnum):
     """What a connection holds memory for."""
 
-    CONNECTION = "connections"
-    HEAD = "heads"
-    BODY = "bodies"
-    QUEUE = "queued"
-    REQUEST = "in_progress"
-    RESPONSE = "responses"
-    UNREAD = "unread"
+    CONNECTIONS = 0
+    HEADS = 1
+    BODIES = 2
+    QUEUED = 3
+    IN_PROGRESS = 4
+    RESPONSES = 5
+    UNREAD = 6
 
-
-# A request that may have been sent to a backend server is completed.
-_PINNED_PARTS = (Part.REQUEST, Part.RESPONSE)
+    @property
+    def label(self) -> str:
+        """Name in metrics and in the log."""
+        return self.name.lower()
 
 
 class _Connection(Protocol):
@@ -109,7 +110,7 @@
     def __init__(self, budget: "ConnectionBudget", connection: _Connection, since: float) -> None:
         self._budget = budget
         self._connection = connection
-        self._amounts: dict[Part, int] = {}
+        self._amounts = [0] * len(Part)
         self._total_bytes = 0
         self._is_blocked = False
         self._is_closed = False
@@ -118,19 +119,22 @@
 
     @property
     def pinned_bytes(self) -> int:
-        """Memory that an eviction does not free."""
+        """Memory that an eviction does not free.
+
+        A request that may have been sent to a backend server is completed.
+        """
         if self._is_blocked:
             return 0
-        return sum(self._amounts.get(part, 0) for part in _PINNED_PARTS)
+        return self._amounts[Part.IN_PROGRESS] + self._amounts[Part.RESPONSES]
 
     @property
     def evictable_bytes(self) -> int:
         """Memory that an eviction frees, beside the connection itself."""
-        return self._total_bytes - self.pinned_bytes - self._amounts.get(Part.CONNECTION, 0)
+        return self._total_bytes - self.pinned_bytes - self._amounts[Part.CONNECTIONS]
 
     def hold(self, part: Part, amount: int) -> None:
         """Record the memory that the connection holds for a part from now on, in bytes."""
-        change = amount - self._amounts.get(part, 0)
+        change = amount - self._amounts[part]
         if self._is_closed or not change:
             return
         pinned = self.pinned_bytes
@@ -147,7 +151,7 @@
         An amount has room if it is at most half of what the pinned parts of all connections leave,
         so that many small requests pass beside a few large ones, or if nothing else is pinned.
         """
-        pinned = self._budget.pinned_bytes - self._amounts.get(part, 0)
+        pinned = self._budget.pinned_bytes - self._amounts[part]
         if pinned and amount > (self._budget.limits.memory_bytes - pinned) // 2:
             return False
         self.hold(part, amount)
@@ -206,7 +210,7 @@
         self.now = now
         self._on_eviction = on_eviction
         self._accounts: set[ConnectionAccount] = set()
-        self._held: Counter[Part] = Counter()
+        self._held = [0] * len(Part)
         self._total_bytes = self._pinned_bytes = 0
         self._is_relieving = False
         self._evictions: Counter[str] = Counter()
@@ -236,7 +240,7 @@
         """Return the account of a new connection, which may be evicted at once."""
         account = ConnectionAccount(self, connection, self.now())
         self._accounts.add(account)
-        account.hold(Part.CONNECTION, CONNECTION_BYTES)
+        account.hold(Part.CONNECTIONS, CONNECTION_BYTES)
         return account
 
     def close(self, account: ConnectionAccount) -> None:
@@ -270,7 +274,7 @@
         if now - self._logged_at < _LOG_INTERVAL_S:
             return
         self._logged_at = now
-        held = {part.value: amount for part, amount in self._held.items() if amount}
+        held = {part.label: self._held[part] for part in Part if self._held[part]}
         _LOG.warning(
             "connections of clients evicted",
             extra={
--- a/src/hibiscushaven/process/tests/test_connection_budget.py
+++ b/src/hibiscushaven/process/tests/test_connection_budget.py
@@ -151,7 +151,7 @@
     async def scenario(process):
         connection = process.connect()
         await connection.receive(400 * HEAD)
-        assert process.budget.held_bytes(Part.QUEUE) == 0 and process.evictions == ["memory"]
+        assert process.budget.held_bytes(Part.QUEUED) == 0 and process.evictions == ["memory"]
         connection.app.may_respond.set()
         await connection.settle()
         assert connection.written.count(b"HTTP/1.1 ") == len(connection.app.requests) == 1
@@ -218,7 +218,7 @@
         assert process.budget.held_bytes(Part.UNREAD) > 0
         connection.protocol.resume_writing()
         assert process.budget.held_bytes(Part.UNREAD) == 0
-        assert process.budget.held_bytes(Part.REQUEST) == 0
+        assert process.budget.held_bytes(Part.IN_PROGRESS) == 0
 
     run_process(scenario, 400 * KIB)
 
