Let clients that still send read their rejection

A client whose request is rejected while it sends lost the response if it went on for more than a second: its connection was closed then, which resets it while unread bytes arrive, and the client could not know that its request had not run.

--- a/src/hibiscushaven/process/caller_protocol.py
+++ b/src/hibiscushaven/process/caller_protocol.py
@@ -18,7 +18,9 @@
 
 # Time for a caller to read the response to a rejected request before its connection is closed.
 # Closing a connection with unread bytes resets it, which can lose the response.
+# It is closed once nothing arrives for a while, or after a longer time in any case.
 LINGER_S = 1.0
+MAX_LINGER_S = 10.0
 
 # Bytes that are read at once. The memory that they take once parsed is known only afterwards.
 READ_BYTES = 16 * 1024
@@ -98,6 +100,7 @@
         self._id_header = id_header.encode()
         self._echoed_headers = {name.encode() for name in (id_header, *echoed_headers) if name}
         self._arrival_timer: asyncio.TimerHandle | None = None
+        self._lingers_until: float | None = None
         self._size = MessageSize()
         # Memory of queued requests that are complete, the latest first as in ``pipeline``.
         self._queued_memory_bytes: deque[int] = deque()
@@ -118,6 +121,7 @@
 
     def data_received(self, data: bytes) -> None:
         if self._is_rejected:
+            self._linger()
             return
         self._stop_arrival_timer()
         self._size.begin_read(len(data), self._is_in_head)
@@ -393,4 +397,13 @@
             # The client has reset the connection.
             self.transport.abort()
             return
-        self.loop.call_later(LINGER_S, self.transport.close)
+        self._lingers_until = self.loop.time() + MAX_LINGER_S
+        self.flow.resume_reading()
+        self._linger()
+
+    def _linger(self) -> None:
+        """Close the connection of a rejected request once its client stops sending."""
+        if self._lingers_until is not None:
+            self._stop_arrival_timer()
+            left_s = self._lingers_until - self.loop.time()
+            self._start_arrival_timer(min(LINGER_S, left_s), self.transport.close)
--- a/src/hibiscushaven/process/tests/test_caller_protocol.py
+++ b/src/hibiscushaven/process/tests/test_caller_protocol.py
@@ -63,6 +63,21 @@
     run_scenario(scenario)
 
 
+def test_client_that_still_sends_can_read_its_rejection(run_scenario):
+    """Guards against a reset that loses the response, and a connection that never closes."""
+
+    async def scenario(connection):
+        await connection.receive(b"GET /x/1 HTTP/1.1\r\nLong: " + b"x" * 300)
+        for _ in range(12):
+            connection.loop.advance(0.8)
+            await connection.receive(b"more")
+            assert not connection.transport.is_closed
+        connection.loop.advance(0.8)
+        assert connection.transport.is_closed
+
+    run_scenario(scenario)
+
+
 def test_slow_head_does_not_renew_its_timeout(run_scenario):
     """Guards against a head sent byte by byte that holds its connection indefinitely."""
 
