--- a/src/hibiscushaven/process/caller_protocol.py
+++ b/src/hibiscushaven/process/caller_protocol.py
@@ -78,6 +78,11 @@
     What the connection holds is part of the budget of all connections. Once that is used up,
     requests that have arrived or are arriving are rejected with status 503.
 
+    The ``state`` of each request's scope has two functions for the application:
+    ``try_hold_response`` returns whether there is memory for a beginning of the response of the
+    given size, and ``drop_queued_requests`` ends the connection after the response if requests
+    are queued behind it.
+
     :param limits: returns the limits in force.
     :param budget: budget of all connections; by default one for this connection.
     :param id_header: lower-case name of the header field with a request's id, for the log and
--- a/src/hibiscushaven/process/message_size.py
+++ b/src/hibiscushaven/process/message_size.py
@@ -17,9 +17,9 @@
 BODY_FACTOR = 2
 
 # Bytes of framing of a body, such as extensions of chunks: a fixed number, and some for each byte
-# of the body, since a chunk of one byte has five of them.
+# of the body, since a chunk of one byte has five of them, and more if its size has leading zeros.
 MAX_FRAMING_BYTES = 64 * 1024
-MAX_FRAMING_RATIO = 16
+MAX_FRAMING_RATIO = 32
 
 # Parsed fields and pieces of a body above which a read counts as expensive.
 EXPENSIVE_EVENTS = 256
