Free the beginning of a long response once it is written

A response beyond 1 MiB is passed on as it arrives, but its beginning stayed in memory until the end, and again in the buffer of the connection while the client did not read. The budget knew one of the two.

The application now drops it once it is written, the budget counts both while they exist, and connections to backend servers read 64 KiB at once in place of 256.

--- a/src/hibiscushaven/delivery/response_limits.py
+++ b/src/hibiscushaven/delivery/response_limits.py
@@ -8,6 +8,9 @@
 
 __all__ = ["BoundedResponseHandler", "is_http_status"]
 
+# Bytes that are read at once. A response that is passed on slowly holds some of them.
+READ_BYTES = 64 * 1024
+
 # Bytes of a response that are not part of its body, such as heads, interim responses and trailers.
 MAX_OVERHEAD_BYTES = 64 * 1024
 
@@ -51,6 +54,10 @@
         self._received_bytes = 0
         self._has_head = False
 
+    def connection_made(self, transport: Any) -> None:
+        super().connection_made(transport)
+        transport.max_size = READ_BYTES
+
     def set_response_params(self, **params: Any) -> None:
         """Begin a response."""
         self._received_bytes = 0
--- a/src/hibiscushaven/forwarding/app.py
+++ b/src/hibiscushaven/forwarding/app.py
@@ -62,11 +62,8 @@
         received_at = self._now()
         body = await _read_body(receive)
         request = self._request(scope, body, received_at)
-        response = await _cancel_on_disconnect(self._forwarder.handle(request), receive)
-        if response.status == _RETRY_LATER and response.is_own:
-            # The requests behind this one on the connection cannot wait as the response asks.
-            scope.get("state", {}).get("drop_queued_requests", lambda: None)()
-        await self._write(send, request, response)
+        work = self._forwarder.handle(request)
+        await self._write(send, scope, request, await _cancel_on_disconnect(work, receive))
 
     def _request(self, scope: Scope, body: bytes, received_at: float) -> CallerRequest:
         headers: Headers = tuple(
@@ -78,7 +75,12 @@
         request = self._dialect.read(headers, scope["method"], path, target, body, received_at)
         return replace(request, try_hold_response=_response_memory(scope))
 
-    async def _write(self, send: Send, request: CallerRequest, response: CallerResponse) -> None:
+    async def _write(
+        self, send: Send, scope: Scope, request: CallerRequest, response: CallerResponse
+    ) -> None:
+        if response.status == _RETRY_LATER and response.is_own:
+            # The requests behind this one on the connection cannot wait as the response asks.
+            scope.get("state", {}).get("drop_queued_requests", lambda: None)()
         headers = [
             (name.lower().encode("latin-1"), value.encode("latin-1"))
             for name, value in response.headers
@@ -95,15 +97,17 @@
         if self.is_leaving:
             headers.append((b"connection", b"close"))
         await send({"type": "http.response.start", "status": response.status, "headers": headers})
-        has_more = response.body_stream is not None
-        body = {"type": "http.response.body", "body": response.body, "more_body": has_more}
-        await send(body)
-        if response.body_stream is None:
+        body, stream = response.body, response.body_stream
+        # The beginning of a long response is freed once it is written.
+        del response
+        await send({"type": "http.response.body", "body": body, "more_body": stream is not None})
+        del body
+        if stream is None:
             return
         request.try_hold_response(STREAM_BYTES)
         # A truncated body raises an exception here, so that the server closes the connection and
         # the caller sees that the response is incomplete.
-        async for chunk in response.body_stream:
+        async for chunk in stream:
             await send({"type": "http.response.body", "body": chunk, "more_body": True})
         await send({"type": "http.response.body", "body": b"", "more_body": False})
 
--- a/src/hibiscushaven/forwarding/bodies.py
+++ b/src/hibiscushaven/forwarding/bodies.py
@@ -10,6 +10,9 @@
 # request can be retried if the body is truncated. Larger ones are streamed.
 MAX_BUFFERED_BODY_BYTES = 1024 * 1024
 
+# A body is copied when it is complete, and again when it is written.
+BODY_FACTOR = 2
+
 
 async def buffer_body(
     head: AttemptResponse, try_hold: Callable[[int], bool]
@@ -22,6 +25,6 @@
     chunks = head.__aiter__()
     async for chunk in chunks:
         body += chunk
-        if len(body) > MAX_BUFFERED_BODY_BYTES or not try_hold(len(body)):
+        if len(body) > MAX_BUFFERED_BODY_BYTES or not try_hold(BODY_FACTOR * len(body)):
             return bytes(body), chunks
     return bytes(body), None
