Count the connections themselves when a request is admitted

Requests in progress could fill the budget up to its limit. With many open connections the total then stayed above it, although nothing could be evicted, and each read looked for connections to evict again.

What the connections themselves take is now left out of the room for requests in progress.

--- a/src/hibiscushaven/process/connection_budget.py
+++ b/src/hibiscushaven/process/connection_budget.py
@@ -148,11 +148,13 @@
         Explanation
         ===========
 
-        An amount has room if it is at most half of what the pinned parts of all connections leave,
-        so that many small requests pass beside a few large ones, or if nothing else is pinned.
+        An amount has room if it is at most half of what all connections and their pinned parts
+        leave, so that many small requests pass beside a few large ones, or if nothing else is
+        pinned.
         """
         pinned = self._budget.pinned_bytes - self._amounts[part]
-        if pinned and amount > (self._budget.limits.memory_bytes - pinned) // 2:
+        free = self._budget.limits.memory_bytes - pinned - self._budget.held_bytes(Part.CONNECTIONS)
+        if pinned and amount > free // 2:
             return False
         self.hold(part, amount)
         return True
@@ -196,6 +198,7 @@
     :param now: returns the time in seconds.
     :param on_eviction: called with the reason of each eviction: ``memory`` or ``connections``; or
         ``room`` for a request that was rejected before it ran.
+    :ivar limits: limits on all connections together.
     :ivar now: returns the time in seconds.
     :ivar turns: turns of connections whose data is expensive to parse.
     """
