--- a/tests/processes/crowds.py
+++ b/tests/processes/crowds.py
@@ -9,7 +9,8 @@
 from pathlib import Path
 
 from hibiscushaven.platform.tests.backend_standin import header
-from hibiscushaven.platform.tests.samples import server_row
+
+from .gateways import RegisteredServer
 
 CALLERS, READINESS, DIRECTORY, STATUS, METRICS = 8001, 8002, 8003, 8004, 8005
 PULLS, RELAYS = 7540, 7541
@@ -154,43 +155,26 @@
     return Crowd(rng.randrange(1, 100), rng.choice((_HEAD, _CHUNKED, b"")) + data, tuple(ports))
 
 
-class BodyServer:
+class BodyServer(RegisteredServer):
     """Backend server that reads whole requests.
 
     :ivar requests: heads and lengths of the bodies of the requests.
     """
 
     def __init__(self, name, host, store):
-        self._name, self._host, self._store = name, host, store
-        self._writers = set()
+        super().__init__(name, host, store)
         self.requests = []
 
-    async def start(self):
-        """Listen and register."""
-        self._server = await asyncio.start_server(self._serve, self._host, 9000)
-        self._store.put("servers", self._name, server_row(address=f"{self._host}:9000"))
-
-    def close(self):
-        self._server.close()
-        for writer in self._writers:
-            writer.transport.abort()
-
-    async def _serve(self, reader, writer):
-        self._writers.add(writer)
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
-            while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).decode()
-                body = await reader.readexactly(int(header(head, "Content-Length") or 0))
-                self.requests.append((head, len(body)))
-                length = RESPONSE_BYTES.get(head.split(" ")[1], 2)
-                fields = f"Request-Id: {header(head, 'Request-Id')}\r\nResponse-Seal: 1\r\n"
-                if header(head, "Request-Id") is None:
-                    fields = "Response-Seal: 1\r\n"
-                lines = f"HTTP/1.1 200 OK\r\n{fields}Content-Length: {length}\r\n\r\n"
-                writer.write(lines.encode() + b"o" * length)
-                await writer.drain()
-        self._writers.discard(writer)
-        writer.close()
+    async def _answer(self, head, reader, writer):
+        body = await reader.readexactly(int(header(head, "Content-Length") or 0))
+        self.requests.append((head, len(body)))
+        length = RESPONSE_BYTES.get(head.split(" ")[1], 2)
+        fields = f"Request-Id: {header(head, 'Request-Id')}\r\nResponse-Seal: 1\r\n"
+        if header(head, "Request-Id") is None:
+            fields = "Response-Seal: 1\r\n"
+        lines = f"HTTP/1.1 200 OK\r\n{fields}Content-Length: {length}\r\n\r\n"
+        writer.write(lines.encode() + b"o" * length)
+        return True
 
 
 class CrowdClients:
--- a/tests/processes/gateways.py
+++ b/tests/processes/gateways.py
@@ -34,14 +34,11 @@
 """
 
 
-class CrashableServer:
-    """Backend server that ends when it runs the crashing request, and starts again later.
-
-    :param on_crash: called at each crash.
-    """
+class RegisteredServer:
+    """Backend server that registers itself; subclasses answer its requests."""
 
-    def __init__(self, name, host, store, on_crash):
-        self._name, self._host, self._store, self._on_crash = name, host, store, on_crash
+    def __init__(self, name, host, store):
+        self._name, self._host, self._store = name, host, store
         self._writers = set()
         self._starts = 0
 
@@ -62,16 +59,32 @@
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
-                if f" {CRASHING_PATH} " in head:
-                    self._on_crash()
-                    self.close()
+                if not await self._answer(head, reader, writer):
                     break
-                writer.write(sound_response(header(head, "Request-Id")))
                 await writer.drain()
         self._writers.discard(writer)
         writer.close()
 
 
+class CrashableServer(RegisteredServer):
+    """Backend server that ends when it runs the crashing request, and starts again later.
+
+    :param on_crash: called at each crash.
+    """
+
+    def __init__(self, name, host, store, on_crash):
+        super().__init__(name, host, store)
+        self._on_crash = on_crash
+
+    async def _answer(self, head, reader, writer):
+        if f" {CRASHING_PATH} " in head:
+            self._on_crash()
+            self.close()
+            return False
+        writer.write(sound_response(header(head, "Request-Id")))
+        return True
+
+
 def sound_response(request_id):
     """Return the bytes of a whole response to a request."""
     lines = (
