--- a/src/hibiscushaven/entry/daemon.py
+++ b/src/hibiscushaven/entry/daemon.py
@@ -30,9 +30,10 @@
 # platform's table is unavailable.
 _MAX_SETTLE_S = 30.0
 
-# Limits of one connection of a caller; the interfaces check the lengths of bodies.
+# Limits of one connection of a caller. The interfaces check the lengths of bodies, and the idle
+# time is at least that within which a body has to arrive.
 _CONNECTION_LIMITS = ConnectionLimits(
-    max_head_bytes=64 * 1024, head_timeout_s=10.0, idle_timeout_s=15.0
+    max_head_bytes=64 * 1024, head_timeout_s=10.0, idle_timeout_s=60.0
 )
 
 
