Show that silent pulls are closed by the budget

test_silent_pulls_beyond_the_budget_are_closed held also where no budget accounts for pulls, since the timeout of a pull closes them as well.

The test now also checks that connections are evicted, and for which reason.

--- a/src/hibiscushaven/fleet/tests/test_fleet.py
+++ b/src/hibiscushaven/fleet/tests/test_fleet.py
@@ -229,7 +229,9 @@
     """Guards against connections of other VMs that no budget accounts for."""
 
     async def run():
-        budget = ConnectionBudget(BudgetLimits(2**20, connections=2))
+        evictions = []
+        limits = BudgetLimits(2**20, connections=2)
+        budget = ConnectionBudget(limits, on_eviction=evictions.append)
         server, port = await _start_transport(lambda *_: make_sync_response(), budget=budget)
         client, _ = await _start_transport(lambda *_: SyncResponse())
         silent = [await asyncio.open_connection("127.0.0.1", port) for _ in range(6)]
@@ -238,6 +240,8 @@
             with contextlib.suppress(ConnectionError):
                 assert await reader.read() == b""
         assert budget.connections <= 2
+        # Their timeout would close them as well, but later and without counting them.
+        assert len(evictions) >= 4 and set(evictions) == {"connections"}
         server.close()
         client.close()
         return response
