Close what a daemon has opened when it cannot start

An entry VM whose address is in use printed a second error at times, about an unclosed session. The daemon raised the error without closing anything: a periodic task had opened a session to the platform's table by then, and the garbage collector reported it later, in a test run while the next command was starting.

Evidence: with a collection after each test, the session is the only error of that test, and its traceback leads to EntryNode._read_vm_list; a gateway that fails to start keeps its other ports in use. test_entry_that_cannot_start and 5 of the 6 cases of test_gateway_that_cannot_start fail without the change (the case of peers_at holds, since nothing was opened before).

Both daemons now close what they have opened before they pass the error on, and HttpServer.stop does nothing for a server that was not started.

--- a/src/hibiscushaven/commands/tests/test_commands.py
+++ b/src/hibiscushaven/commands/tests/test_commands.py
@@ -1,5 +1,6 @@
 """Tests of the output and the exit codes of the commands."""
 
+import gc
 import json
 import logging
 import socket
@@ -212,6 +213,29 @@
     assert (result.exit_code, result.output) == (0, "examples/szovetseg.ini: ok\n")
 
 
+def write_entry_settings(path, http_port, peer_port):
+    path.write_text(
+        "[vm]\nname = vm-1\nregion = r\nfailure_domain = d\nhost = 127.0.0.1\n"
+        f"http_port = {http_port}\npeer_port = {peer_port}\n"
+        "[platform]\nurl = http://127.0.0.1:1\n[log]\nlevel = error\n"
+    )
+
+
+def test_entry_that_cannot_start_closes_its_connections(tmp_path, caplog):
+    """Guards against a second error, about a session that nothing has closed."""
+    settings = tmp_path / "entry.ini"
+    gc.collect()
+    caplog.clear()
+    with socket.create_server(("127.0.0.1", 0)) as free_socket:
+        free_port = free_socket.getsockname()[1]
+    with socket.create_server(("127.0.0.1", 0)) as used_socket:
+        port = used_socket.getsockname()[1]
+        write_entry_settings(settings, port, free_port)
+        assert_one_line_error("entry", "--settings", str(settings), port=port)
+    gc.collect()
+    assert [record.getMessage() for record in caplog.records] == []
+
+
 def test_address_in_use_is_reported_in_one_line(tmp_path):
     """Guards against a traceback if a process is started twice."""
     with (
@@ -222,11 +246,7 @@
         free_socket.close()
         for name, http, peer in (("http", port, free_port), ("peer", free_port, port)):
             settings = tmp_path / f"{name}.ini"
-            settings.write_text(
-                "[vm]\nname = vm-1\nregion = r\nfailure_domain = d\nhost = 127.0.0.1\n"
-                f"http_port = {http}\npeer_port = {peer}\n"
-                "[platform]\nurl = http://127.0.0.1:1\n[log]\nlevel = error\n"
-            )
+            write_entry_settings(settings, http, peer)
             assert_one_line_error("entry", "--settings", str(settings), port=port)
         assert_one_line_error("standin", "platform", "--port", str(port), port=port)
 
--- a/src/hibiscushaven/entry/daemon.py
+++ b/src/hibiscushaven/entry/daemon.py
@@ -77,10 +77,14 @@
     async def start(self) -> None:
         """Start serving.
 
-        :raises OSError: when an address cannot be used.
+        :raises OSError: when an address cannot be used; what was opened until then is closed.
         """
-        await self._node.start()
-        await self._server.start()
+        try:
+            await self._node.start()
+            await self._server.start()
+        except OSError:
+            await self.stop(is_forced=True)
+            raise
         _LOG.info("entry VM started", extra={"incarnation": self._node.identity.incarnation})
 
     async def drain(self) -> None:
--- a/src/hibiscushaven/gateway/daemon.py
+++ b/src/hibiscushaven/gateway/daemon.py
@@ -196,11 +196,16 @@
     async def start(self) -> None:
         """Start the node and the HTTP servers.
 
-        :raises OSError: when listening on an address fails.
+        :raises OSError: when listening on an address fails; what was opened until then is closed.
         """
-        await self.node.start()
-        for server in self._servers:
-            await server.start()
+        try:
+            await self.node.start()
+            for server in self._servers:
+                await server.start()
+        except OSError:
+            await asyncio.gather(*(server.stop(is_forced=True) for server in self._servers))
+            await self._close_connections()
+            raise
         _LOG.info(
             "gateway started",
             extra={
--- a/src/hibiscushaven/platform/tests/test_gateway.py
+++ b/src/hibiscushaven/platform/tests/test_gateway.py
@@ -24,6 +24,16 @@
 
 TIME_LIMIT_S = 60
 
+# Names of the options with the addresses on which a gateway listens.
+ADDRESSES = (
+    "callers_at",
+    "readiness_at",
+    "directory_at",
+    "peers_at",
+    "status_at",
+    "metrics_at",
+)
+
 
 def free_endpoint():
     """Return an endpoint on a loopback address of its own, whose port no other process takes."""
@@ -63,10 +73,10 @@
         self.session = aiohttp.ClientSession()
         return self
 
-    async def start_gateway(self, options):
-        """Return a gateway that is ready."""
+    def make_gateway(self, options):
+        """Return a gateway that was not started."""
         backends = PlatformBackends()
-        daemon = GatewayDaemon(
+        return GatewayDaemon(
             options,
             StoreClient(self.store_at),
             PlatformCallers(),
@@ -75,6 +85,10 @@
             PlatformDirectory(),
             self.clock,
         )
+
+    async def start_gateway(self, options):
+        """Return a gateway that is ready."""
+        daemon = self.make_gateway(options)
         await daemon.start()
         while not daemon.node.is_ready:
             await asyncio.sleep(0)
@@ -82,16 +96,12 @@
 
     async def start_other_gateway(self):
         """Return a gateway of another VM of the region."""
-        names = (
-            "callers_at",
-            "readiness_at",
-            "directory_at",
-            "peers_at",
-            "status_at",
-            "metrics_at",
-        )
-        own = {name: free_endpoint() for name in names}
-        return await self.start_gateway(replace(self.options, name="vm-2", **own))
+        return await self.start_gateway(self.other_options())
+
+    def other_options(self):
+        """Return the options of another VM of the region."""
+        own = {name: free_endpoint() for name in ADDRESSES}
+        return replace(self.options, name="vm-2", **own)
 
     async def __aexit__(self, *error):
         await self.session.close()
@@ -162,6 +172,24 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize("name", ADDRESSES)
+def test_gateway_that_cannot_start_frees_its_addresses(name):
+    """Guards against a port that stays in use after a start on an address that is in use."""
+
+    async def scenario(deployment):
+        options = deployment.other_options()
+        used = {name: deployment.options.callers_at}
+        gateway = deployment.make_gateway(replace(options, **used))
+        with pytest.raises(OSError):
+            await gateway.start()
+        for other in set(ADDRESSES) - {name}:
+            address = getattr(options, other)
+            socket.create_server((address.host, address.port)).close()
+        await deployment.daemon.stop()
+
+    run(scenario)
+
+
 def test_request_is_served():
     """Guards against header fields that are lost or changed on the way."""
 
--- a/src/hibiscushaven/process/server.py
+++ b/src/hibiscushaven/process/server.py
@@ -110,13 +110,14 @@
             await asyncio.sleep(0)
 
     async def stop(self, is_forced: bool = False) -> None:
-        """Stop listening and finish the requests in progress.
+        """Stop listening and finish the requests in progress, if the server was started.
 
         :param is_forced: whether to abort the requests in progress instead.
         """
+        if self._task is None:
+            return
         self._server.should_exit = True
         self._server.force_exit = is_forced
         if isinstance(self._server, _TicklessServer):
             self._server.wake()
-        if self._task is not None:
-            await self._task
+        await self._task
