Close the connections of a test that keeps a gateway from closing them

test_stop_ends_although_a_connection_does_not_close replaces the method that closes them, and left a connector to the garbage collector, which reported it during another test. The test closes them itself after its last check.

--- a/src/hibiscushaven/platform/tests/test_stop.py
+++ b/src/hibiscushaven/platform/tests/test_stop.py
@@ -124,7 +124,12 @@
     """Guards against a process that has to be killed since a peer reads nothing."""
 
     async def scenario(deployment):
-        monkeypatch.setattr(deployment.daemon._client, "close", asyncio.Event().wait)
-        await deployment.daemon.stop()
+        daemon = deployment.daemon
+        close_client = daemon._client.close
+        monkeypatch.setattr(daemon._client, "close", asyncio.Event().wait)
+        await daemon.stop()
+        await close_client()
+        for client in (daemon._relay_client, daemon._store):
+            await client.close()
 
     run(scenario)
