Let an entry VM know the memory and descriptors of its process

`hibiscushaven entry` takes `--memory-mb` and `--max-descriptors`, as the gateway does, so that the budget of its connections follows from the machine. Both commands share the options. The defaults stay: 192 MB, and the descriptors that the system allows.

--- a/src/hibiscushaven/commands/gateway.py
+++ b/src/hibiscushaven/commands/gateway.py
@@ -7,6 +7,7 @@
 
 from hibiscushaven.platform import SETTINGS_VARIABLE
 
+from .machine import machine_options
 from .output import EXIT_USAGE, exit_on_os_error, exit_with_problems
 
 __all__ = ["gateway"]
@@ -21,18 +22,7 @@
     type=click.Path(dir_okay=False),
     help="Settings file of the VM.",
 )
-@click.option(
-    "--memory-mb",
-    type=click.FloatRange(min=1),
-    envvar="HIBISCUSHAVEN_MEMORY_MB",
-    help="Memory of the process in MB; by default that of a small VM, 192.",
-)
-@click.option(
-    "--max-descriptors",
-    type=click.IntRange(min=1),
-    envvar="HIBISCUSHAVEN_MAX_DESCRIPTORS",
-    help="Descriptors of the process; by default as many as the system allows.",
-)
+@machine_options
 @click.option("--check", is_flag=True, help="Check the settings and exit.")
 def gateway(path: str, memory_mb: float | None, max_descriptors: int | None, check: bool) -> None:
     """Run the gateway of an entry VM until SIGTERM.
--- a/src/hibiscushaven/entry/daemon.py
+++ b/src/hibiscushaven/entry/daemon.py
@@ -8,9 +8,11 @@
 from hibiscushaven.logs import configure_logging
 from hibiscushaven.operators import OperatorContext, TeamDirectory, operator_routes
 from hibiscushaven.process import (
+    BudgetLimits,
     ConnectionBudget,
     ConnectionLimits,
     HttpServer,
+    MachineLimits,
     map_large_blocks,
     on_stop,
 )
@@ -41,9 +43,15 @@
     """One entry VM with its HTTP interfaces.
 
     :param platform: platform API; ``None`` connects to the address in the settings.
+    :param machine: memory and descriptors of the process.
     """
 
-    def __init__(self, settings: Settings, platform: Platform | None = None) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        platform: Platform | None = None,
+        machine: MachineLimits | None = None,
+    ) -> None:
         self._settings = settings
         self._own_platform: HttpPlatform | None = None
         if platform is None:
@@ -67,7 +75,7 @@
             settings.host,
             settings.http_port,
             limits=lambda: _CONNECTION_LIMITS,
-            budget=ConnectionBudget(),
+            budget=ConnectionBudget(BudgetLimits.of(machine or MachineLimits.detect())),
         )
 
     @property
@@ -137,11 +145,14 @@
         return Starlette(routes=routes)
 
 
-async def run_entry(settings: Settings) -> None:
-    """Run the daemon of one entry VM until SIGTERM or SIGINT; a second signal stops it at once."""
+async def run_entry(settings: Settings, machine: MachineLimits) -> None:
+    """Run the daemon of one entry VM until SIGTERM or SIGINT; a second signal stops it at once.
+
+    :param machine: memory and descriptors of the process.
+    """
     map_large_blocks()
     configure_logging(settings.log.level, settings.log.format, settings.name)
-    daemon = EntryDaemon(settings)
+    daemon = EntryDaemon(settings, machine=machine)
     signals = asyncio.Semaphore(0)
     on_stop(signals.release)
     await daemon.start()
