Account for connections of other VMs to an entry VM

What clients saw: anyone who reaches the port for other VMs of `hibiscushaven entry` could end it. 60 connections that announce a message of 4 MiB and stop one byte short took 304 MB, and 400 silent ones all 300 descriptors, so that the VM reached neither backend servers nor the platform's table.

Cause: its HTTP port shares a budget, the port for other VMs had none. A message is read whole once its length is known, and relayed requests are held until they are answered, however many there are.

Change: PeerHub opens an account for each connection that it accepts, in the budget of the HTTP port. A message counts from its length on, a relayed request until it is answered; one without room is refused as not run. The hub accepts few connections at once, so that the surplus is closed before descriptors run out. Connections that the VM opens itself are not limited.

The account of a pull moves to the process package, since both kinds of connection are closed in the same way.

--- a/src/hibiscushaven/delivery/relay_server.py
+++ b/src/hibiscushaven/delivery/relay_server.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 
 from hibiscushaven.peers import Message, PeerClosedError, PeerConnection, PeerHub
+from hibiscushaven.process import IN_PROGRESS_BYTES, OVERLOAD_RETRY_S, request_memory_bytes
 
 from .headers import Headers
 from .outcome import Outcome
@@ -28,6 +29,9 @@
 
 _LOG = logging.getLogger(__name__)
 
+# Memory of a relayed request beside itself, with the part of its response that is being written.
+RELAYED_BYTES = IN_PROGRESS_BYTES + CHUNK_BYTES
+
 
 class Responder(MonitoredExchange):
     """Sends the response to one relayed request.
@@ -153,10 +157,18 @@
     def _start(self, connection: PeerConnection, request: RelayRequest) -> None:
         deadline = asyncio.get_running_loop().time() + request.remaining_ms / 1000
         responder = Responder(connection, request.exchange, deadline)
+        amount = RELAYED_BYTES + request_memory_bytes(
+            (*request.headers, *request.attributes), len(request.body)
+        )
+        if not connection.stream.try_reserve(amount):
+            failure = Outcome.NOT_RUN, "no memory for the request", OVERLOAD_RETRY_S
+            self._send_failure_if_open(responder, *failure)
+            return
         task = asyncio.create_task(self._serve(connection, request, responder))
         key = (connection, request.exchange)
         self._requests[key] = (responder, task)
         task.add_done_callback(lambda _: self._requests.pop(key, None))
+        task.add_done_callback(lambda _: connection.stream.release(amount))
         self._keep_alive.mark_used(connection)
 
     async def _serve(
@@ -175,13 +187,17 @@
             )
         except Exception:
             _LOG.exception("relayed request failed", extra={"request_id": request.request_id})
-            self._send_failure_if_open(responder)
-
-    def _send_failure_if_open(self, responder: Responder) -> None:
+            self._send_failure_if_open(responder, Outcome.UNKNOWN, "internal error")
+
+    def _send_failure_if_open(
+        self,
+        responder: Responder,
+        outcome: Outcome,
+        reason: str,
+        retry_after_s: float | None = None,
+    ) -> None:
         try:
-            responder._end(
-                RelayFailure(responder.number, Outcome.UNKNOWN.value, "internal error", None)
-            )
+            responder._end(RelayFailure(responder.number, outcome.value, reason, retry_after_s))
         except PeerClosedError:
             _LOG.debug("connection to relaying peer closed", extra={"exchange": responder.number})
 
--- a/src/hibiscushaven/delivery/tests/support.py
+++ b/src/hibiscushaven/delivery/tests/support.py
@@ -16,6 +16,7 @@
 )
 from hibiscushaven.ini.fields import Endpoint
 from hibiscushaven.peers import Message, PeerConnection, PeerHub, PeerIdentity
+from hibiscushaven.process import ConnectionBudget
 from hibiscushaven.standins import BackendConfig, BackendStandIn
 
 HOST = "127.0.0.1"
@@ -119,9 +120,13 @@
 
 
 @asynccontextmanager
-async def vms(count: int) -> AsyncIterator[list[PeerHub]]:
+async def vms(count: int, budget: ConnectionBudget | None = None) -> AsyncIterator[list[PeerHub]]:
     hubs = [
-        PeerHub(PeerIdentity(f"vm{n}", f"i{n}", "fd", "region", HOST, free_port()), _ignore_message)
+        PeerHub(
+            PeerIdentity(f"vm{n}", f"i{n}", "fd", "region", HOST, free_port()),
+            _ignore_message,
+            budget=budget,
+        )
         for n in range(count)
     ]
     try:
--- a/src/hibiscushaven/delivery/tests/test_relay.py
+++ b/src/hibiscushaven/delivery/tests/test_relay.py
@@ -20,6 +20,7 @@
 from hibiscushaven.delivery.relay_messages import WINDOW_BYTES, RelayHead
 from hibiscushaven.ini.fields import Endpoint
 from hibiscushaven.peers import Channel, PeerConnection, PeerHub
+from hibiscushaven.process import BudgetLimits, ConnectionBudget
 from hibiscushaven.standins import Direction, Forwarder
 
 from .support import HOST, backend_env, deadline_in, in_loop, relay_request, vms
@@ -368,6 +369,31 @@
         assert await (await waiting).read() == _BODY
 
 
+@in_loop
+async def test_relayed_requests_beyond_the_budget_have_not_run() -> None:
+    """Guards against requests of other VMs that hold memory which no budget accounts for."""
+    budget = ConnectionBudget(BudgetLimits(memory_bytes=2**20, connections=100))
+    async with vms(2, budget) as (requesting, serving):
+        owner = Owner(serving)
+        client, endpoint = RelayClient(requesting), serving.identity.endpoint
+
+        async def send(target: str) -> bytes:
+            request = relay_request(target, body=bytes(200_000))
+            response = await client.request(endpoint, Channel.SHORT, request, deadline_in())
+            return await response.read()
+
+        held = asyncio.create_task(send("/held/1"))
+        await owner.until(lambda: owner.requests)
+        with pytest.raises(RelayError) as caught:
+            await send("/held/2")
+        assert caught.value.outcome is Outcome.NOT_RUN
+        owner.released.set()
+        assert await held == b"/held/1"
+        assert await send("/held/3") == b"/held/3"
+        assert [request.target for request in owner.requests] == ["/held/1", "/held/3"]
+    assert budget.connections == budget.total_bytes == 0
+
+
 @in_loop
 async def test_truncated_attempt_is_relayed_as_failure() -> None:
     """Guards against a truncated body that appears complete at the relaying VM."""
--- a/src/hibiscushaven/entry/daemon.py
+++ b/src/hibiscushaven/entry/daemon.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import logging
+from functools import partial
 
 from starlette.applications import Starlette
 
 from hibiscushaven.logs import configure_logging
 from hibiscushaven.operators import OperatorContext, TeamDirectory, operator_routes
+from hibiscushaven.peers import PeerHub
 from hibiscushaven.process import (
     BudgetLimits,
     ConnectionBudget,
@@ -58,7 +60,9 @@
             platform = self._own_platform = HttpPlatform(
                 settings.platform_url, settings.platform_timeout_s
             )
-        self._node = EntryNode(settings, NodePorts(platform))
+        budget = ConnectionBudget(BudgetLimits.of(machine or MachineLimits.detect()))
+        ports = NodePorts(platform, make_hub=partial(PeerHub, budget=budget))
+        self._node = EntryNode(settings, ports)
         self._status = StatusInterface(self._node)
         self._callers = CallerInterface(
             self._node.catalog,
@@ -75,7 +79,7 @@
             settings.host,
             settings.http_port,
             limits=lambda: _CONNECTION_LIMITS,
-            budget=ConnectionBudget(BudgetLimits.of(machine or MachineLimits.detect())),
+            budget=budget,
         )
 
     @property
--- a/src/hibiscushaven/fleet/transport.py
+++ b/src/hibiscushaven/fleet/transport.py
@@ -7,7 +7,7 @@
 import msgpack
 
 from hibiscushaven.ini.fields import Endpoint
-from hibiscushaven.process import ACCEPTS_PER_TURN, ConnectionBudget, Part, listen
+from hibiscushaven.process import ACCEPTS_PER_TURN, ConnectionBudget, Part, StreamConnection, listen
 
 from .messages import Message, MessageError, decode
 from .sync import SyncResponse, decode_sync_response, encode_sync_response
@@ -121,7 +121,7 @@
 
     async def _serve_pull(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
-        connection = _PullConnection(writer, self._budget)
+        connection = StreamConnection(writer, self._budget)
         self._budget.relieve()
         try:
             async with asyncio.timeout(_SERVE_PULL_TIMEOUT_S):
@@ -144,22 +144,6 @@
             connection.evict()
 
 
-class _PullConnection:
-    """Connection of a pull, which its peer may repeat.
-
-    :ivar account: what the connection holds.
-    """
-
-    def __init__(self, writer: asyncio.StreamWriter, budget: ConnectionBudget) -> None:
-        self._writer = writer
-        self.account = budget.open(self)
-
-    def evict(self, is_descriptor_needed: bool = False) -> None:
-        """Close the connection."""
-        self.account.close()
-        self._writer.transport.abort()
-
-
 # Time limit for answering a pull; as long as the longest pull.
 _SERVE_PULL_TIMEOUT_S = 2.0
 
--- a/src/hibiscushaven/peers/hub.py
+++ b/src/hibiscushaven/peers/hub.py
@@ -2,11 +2,19 @@
 
 import asyncio
 import logging
+import sys
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 from enum import StrEnum
 
 from hibiscushaven.ini.fields import Endpoint
+from hibiscushaven.process import (
+    ACCEPTS_PER_TURN,
+    BudgetLimits,
+    ConnectionBudget,
+    StreamConnection,
+    listen,
+)
 
 from .messages import DecodeError, Message, message
 from .stream import PeerClosedError, PeerStream
@@ -17,6 +25,9 @@
 _CONNECT_TIMEOUT_S = 1.0
 _CONTROL_IDLE_TIMEOUT_S = 1.6
 
+# Limits of connections that this VM opens itself.
+_UNLIMITED = BudgetLimits(memory_bytes=sys.maxsize, connections=sys.maxsize)
+
 
 class Channel(StrEnum):
     """Kind of traffic that a connection carries.
@@ -93,6 +104,7 @@
     :param handler: awaited for each message that has no subscribed handler, in order of
         arrival on its connection.
     :param on_close: called after a connection has ended.
+    :param budget: budget that connections of other VMs share with those of callers.
     """
 
     def __init__(
@@ -100,7 +112,10 @@
         identity: PeerIdentity,
         handler: MessageHandler,
         on_close: Callable[[PeerConnection], None] = lambda connection: None,
+        budget: ConnectionBudget | None = None,
     ) -> None:
+        self._budget = budget or ConnectionBudget()
+        self._own_budget = ConnectionBudget(_UNLIMITED)
         self._identity = identity
         self._handler = handler
         self._close_listeners: list[CloseListener] = [on_close]
@@ -127,7 +142,9 @@
     async def listen(self) -> None:
         """Accept connections on the identity's address."""
         self._server = await asyncio.start_server(
-            self._accept, self._identity.host, self._identity.peer_port
+            self._accept,
+            sock=listen(self._identity.host, self._identity.peer_port),
+            backlog=ACCEPTS_PER_TURN,
         )
 
     async def close(self) -> None:
@@ -192,7 +209,8 @@
                 reader, writer = await self._open_connection(endpoint)
         except (OSError, TimeoutError) as error:
             raise PeerClosedError(f"no connection to {endpoint}: {error!r}") from error
-        stream = PeerStream(reader, writer, _idle_timeout(channel))
+        own = StreamConnection(writer, self._own_budget)
+        stream = PeerStream(reader, writer, own, _idle_timeout(channel))
         stream.send_nowait(self._hello(channel))
         try:
             async with asyncio.timeout(_CONNECT_TIMEOUT_S):
@@ -214,7 +232,8 @@
         return await asyncio.open_connection(endpoint.host, endpoint.port)
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        stream = PeerStream(reader, writer)
+        stream = PeerStream(reader, writer, StreamConnection(writer, self._budget))
+        self._budget.relieve()
         try:
             hello = await stream.receive()
             if not isinstance(hello, Hello):
--- a/src/hibiscushaven/peers/stream.py
+++ b/src/hibiscushaven/peers/stream.py
@@ -3,6 +3,8 @@
 import asyncio
 import struct
 
+from hibiscushaven.process import StreamConnection
+
 from .messages import Message, decode, encode
 
 __all__ = ["MAX_FRAME_BYTES", "PeerClosedError", "PeerStream"]
@@ -18,6 +20,7 @@
 class PeerStream:
     """Sends and receives messages framed by a four-byte length.
 
+    :param connection: what the connection holds of a budget.
     :param idle_timeout_s: time without received data after which ``receive`` fails. Both ends
         send heartbeats, so an idle connection has lost its network path. ``None`` disables it.
     """
@@ -26,10 +29,12 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        connection: StreamConnection,
         idle_timeout_s: float | None = 5.0,
     ) -> None:
         self._reader = reader
         self._writer = writer
+        self._connection = connection
         self.idle_timeout_s = idle_timeout_s
 
     @property
@@ -68,14 +73,26 @@
                 (length,) = _LENGTH.unpack(header)
                 if length > MAX_FRAME_BYTES:
                     raise PeerClosedError(f"frame of {length} bytes exceeds {MAX_FRAME_BYTES}")
+                self._connection.begin_message(length)
                 data = await self._reader.readexactly(length)
         except (asyncio.IncompleteReadError, ConnectionError, OSError, TimeoutError) as error:
             raise PeerClosedError(repr(error)) from error
+        self._connection.end_message()
         return decode(data)
 
+    def try_reserve(self, amount: int) -> bool:
+        """Reserve memory for a request of the peer, in bytes, unless there is no room for it."""
+        return self._connection.try_reserve(amount)
+
+    def release(self, amount: int) -> None:
+        """Release memory that was reserved."""
+        self._connection.release(amount)
+
     def close(self) -> None:
+        """Close the connection once the send buffer is written."""
+        self._connection.account.close()
         self._writer.close()
 
     def abort(self) -> None:
         """Close the connection at once, discarding the send buffer."""
-        self._writer.transport.abort()
+        self._connection.evict()
--- a/src/hibiscushaven/process/__init__.py
+++ b/src/hibiscushaven/process/__init__.py
@@ -4,8 +4,16 @@
 from .background import keep_running, spawn
 from .caller_protocol import ConnectionLimits
 from .clock import Clock, SystemClock
-from .connection_budget import BudgetLimits, ConnectionBudget, Part
+from .connection_budget import (
+    IN_PROGRESS_BYTES,
+    OVERLOAD_RETRY_S,
+    BudgetLimits,
+    ConnectionBudget,
+    Part,
+    StreamConnection,
+)
 from .machine import MachineLimits
+from .message_size import request_memory_bytes
 from .pauses import PauseDetector
 from .server import HttpServer
 from .signals import on_stop
@@ -13,6 +21,8 @@
 
 __all__ = [
     "ACCEPTS_PER_TURN",
+    "IN_PROGRESS_BYTES",
+    "OVERLOAD_RETRY_S",
     "BudgetLimits",
     "Clock",
     "ConnectionBudget",
@@ -21,11 +31,13 @@
     "MachineLimits",
     "Part",
     "PauseDetector",
+    "StreamConnection",
     "SystemClock",
     "keep_running",
     "listen",
     "map_large_blocks",
     "on_stop",
+    "request_memory_bytes",
     "socket_factory",
     "spawn",
 ]
--- a/src/hibiscushaven/process/caller_protocol.py
+++ b/src/hibiscushaven/process/caller_protocol.py
@@ -9,7 +9,7 @@
 
 from uvicorn.protocols.http.httptools_impl import RequestResponseCycle
 
-from .connection_budget import ConnectionBudget, Part
+from .connection_budget import IN_PROGRESS_BYTES, OVERLOAD_RETRY_S, ConnectionBudget, Part
 from .message_size import MessageSize
 from .read_flow import ReadFlow
 from .request_protocol import RequestProtocol
@@ -25,18 +25,12 @@
 # Bytes that are read at once. The memory that they take once parsed is known only afterwards.
 READ_BYTES = 16 * 1024
 
-# Memory of a request in progress beside itself, with its connection to a backend server.
-IN_PROGRESS_BYTES = 32 * 1024
-
 # Bytes that the kernel holds for a connection from which is not read, or to which is not written.
 KERNEL_BUFFER_BYTES = 64 * 1024
 
 # Queued requests of a connection above which no more are read from it.
 MAX_QUEUED_REQUESTS = 4
 
-# Retry delay of callers whose request this VM has no memory for; other VMs may accept it at once.
-OVERLOAD_RETRY_S = 0.2
-
 _REASON_PHRASES = {
     408: b"Request Timeout",
     413: b"Content Too Large",
--- a/src/hibiscushaven/process/connection_budget.py
+++ b/src/hibiscushaven/process/connection_budget.py
@@ -1,5 +1,6 @@
 """Memory and connections that all clients of a process may hold together."""
 
+import asyncio
 import heapq
 import logging
 import time
@@ -12,7 +13,15 @@
 from .machine import MachineLimits
 from .read_flow import ReadTurns
 
-__all__ = ["BudgetLimits", "ConnectionAccount", "ConnectionBudget", "Part"]
+__all__ = [
+    "IN_PROGRESS_BYTES",
+    "OVERLOAD_RETRY_S",
+    "BudgetLimits",
+    "ConnectionAccount",
+    "ConnectionBudget",
+    "Part",
+    "StreamConnection",
+]
 
 _LOG = logging.getLogger(__name__)
 
@@ -35,6 +44,12 @@
 # Memory of one connection that holds nothing else, with its buffers in the kernel.
 CONNECTION_BYTES = 20 * 1024
 
+# Memory of a request in progress beside itself, with its connection to a backend server.
+IN_PROGRESS_BYTES = 32 * 1024
+
+# Retry delay of callers whose request this VM has no memory for; other VMs may accept it at once.
+OVERLOAD_RETRY_S = 0.2
+
 # Fraction of the limit to which evictions reduce what is held, so that they are rare.
 EVICTION_TARGET = 0.9
 
@@ -143,18 +158,8 @@
         self._budget.record(part, change, self.pinned_bytes - pinned)
 
     def try_hold(self, part: Part, amount: int) -> bool:
-        """Record more memory for a pinned part, unless there is no room for it.
-
-        Explanation
-        ===========
-
-        An amount has room if it is at most half of what all connections and their pinned parts
-        leave, so that many small requests pass beside a few large ones, or if nothing else is
-        pinned.
-        """
-        pinned = self._budget.pinned_bytes - self._amounts[part]
-        free = self._budget.limits.memory_bytes - pinned - self._budget.held_bytes(Part.CONNECTIONS)
-        if pinned and amount > free // 2:
+        """Record more memory for a pinned part, unless there is no room for it."""
+        if not self._budget.has_room(amount, self._amounts[part]):
             return False
         self.hold(part, amount)
         return True
@@ -239,6 +244,22 @@
         """Return the memory that all connections hold for a part."""
         return self._held[part]
 
+    def has_room(self, amount: int, replaced: int = 0) -> bool:
+        """Return whether there is room for a pinned amount, in bytes.
+
+        Explanation
+        ===========
+
+        An amount has room if it is at most half of what all connections and their pinned parts
+        leave, so that many small requests pass beside a few large ones, or if nothing else is
+        pinned.
+
+        :param replaced: pinned memory in place of which the amount is held.
+        """
+        pinned = self._pinned_bytes - replaced
+        free = self.limits.memory_bytes - pinned - self._held[Part.CONNECTIONS]
+        return not pinned or amount <= free // 2
+
     def open(self, connection: _Connection) -> ConnectionAccount:
         """Return the account of a new connection, which may be evicted at once."""
         account = ConnectionAccount(self, connection, self.now())
@@ -309,6 +330,52 @@
         self.count(reason)
 
 
+class StreamConnection:
+    """Connection of a stream with messages of other VMs, which may be closed at any time.
+
+    :ivar account: what the connection holds.
+    """
+
+    def __init__(self, writer: asyncio.StreamWriter, budget: ConnectionBudget) -> None:
+        self._writer = writer
+        self._budget = budget
+        self._reserved_bytes = 0
+        self.account = budget.open(self)
+
+    def begin_message(self, size: int) -> None:
+        """Account for a message that arrives, in bytes."""
+        self.account.since = self._budget.now()
+        self.account.hold(Part.BODIES, size)
+        self._budget.relieve()
+
+    def end_message(self) -> None:
+        """Record that a message has arrived."""
+        self.account.has_served = True
+        self.account.hold(Part.BODIES, 0)
+
+    def try_reserve(self, amount: int) -> bool:
+        """Reserve memory for a request in progress, in bytes, unless there is no room for it."""
+        if not self._budget.has_room(amount):
+            self._budget.count("room")
+            return False
+        self._reserve(amount)
+        self._budget.relieve()
+        return True
+
+    def release(self, amount: int) -> None:
+        """Release memory that was reserved."""
+        self._reserve(-amount)
+
+    def evict(self, is_descriptor_needed: bool = False) -> None:
+        """Close the connection at once."""
+        self.account.close()
+        self._writer.transport.abort()
+
+    def _reserve(self, change: int) -> None:
+        self._reserved_bytes += change
+        self.account.hold(Part.IN_PROGRESS, self._reserved_bytes)
+
+
 def _idle_order(account: ConnectionAccount) -> tuple[bool, float]:
     return account.has_served, account.since
 
--- a/src/hibiscushaven/process/message_size.py
+++ b/src/hibiscushaven/process/message_size.py
@@ -1,6 +1,8 @@
 """Size of the request that is being received on a connection, in transit and in memory."""
 
-__all__ = ["BODY_FACTOR", "MESSAGE_BYTES", "MessageSize"]
+from collections.abc import Iterable
+
+__all__ = ["BODY_FACTOR", "MESSAGE_BYTES", "MessageSize", "request_memory_bytes"]
 
 # Colon behind the name of a header field, and the line break after its value.
 _FIELD_OVERHEAD_BYTES = 3
@@ -25,6 +27,20 @@
 EXPENSIVE_EVENTS = 256
 
 
+def request_memory_bytes(fields: Iterable[tuple[str, str]], body_bytes: int) -> int:
+    """Return the memory of a whole request until it is answered.
+
+    Examples
+    ========
+
+    >>> request_memory_bytes([("name", "value")], 1000) == MESSAGE_BYTES + FIELD_BYTES + 18 + 2000
+    True
+
+    """
+    field_bytes = sum(FIELD_BYTES + 2 * (len(name) + len(value)) for name, value in fields)
+    return MESSAGE_BYTES + field_bytes + BODY_FACTOR * body_bytes
+
+
 class MessageSize:
     """Counts the bytes of the request that is being received.
 
--- a/tests/processes/deployment.py
+++ b/tests/processes/deployment.py
@@ -77,15 +77,25 @@
 
 
 class Deployment:
-    """Two failure domains, each with entry VMs and backend servers."""
-
-    def __init__(self, directory: Path, entry_vms: int = 2, servers: int = 2):
+    """Two failure domains, each with entry VMs and backend servers.
+
+    :param arguments: further arguments of the entry VMs.
+    """
+
+    def __init__(
+        self,
+        directory: Path,
+        entry_vms: int = 2,
+        servers: int = 2,
+        arguments: tuple[str, ...] = (),
+    ):
         self._directory = directory
         self._processes: dict[str, asyncio.subprocess.Process] = {}
         self.logs = ProcessLogs(directory)
         second_octet = 100 + free_port() % 100
         self._hosts = [f"127.{second_octet}.{domain}" for domain in (1, 2)]
         self._entry_vms = entry_vms
+        self._arguments = arguments
         self._servers = servers
         self._http_port, self._peer_port, self._backend_port = free_port(), free_port(), free_port()
         self._platform_port = free_port()
@@ -103,8 +113,19 @@
         return [self.url(vm) for vm in self.vms]
 
     def url(self, vm):
-        domain, _, number = vm.partition("-vm")
-        return f"http://{self._hosts[domain == 'south']}.{number}:{self._http_port}"
+        return f"http://{self._host(vm)}:{self._http_port}"
+
+    def peers_at(self, vm):
+        """Return the address on which a VM listens for the others."""
+        return self._host(vm), self._peer_port
+
+    def process_id(self, name):
+        """Return the id of a process."""
+        return self._processes[name].pid
+
+    def is_running(self, name):
+        """Return whether a process has not ended."""
+        return self._processes[name].returncode is None
 
     def client(self):
         return ServiceClient("stock", self.entry_urls)
@@ -134,7 +155,7 @@
         assert code == 0, output
 
     async def start_vm(self, vm):
-        await self.start(vm, "entry", "--settings", self.path, "--vm", vm)
+        await self.start(vm, "entry", "--settings", self.path, "--vm", vm, *self._arguments)
 
     async def start(self, name, *arguments):
         self._processes[name] = await self.logs.start(name, *arguments)
@@ -178,6 +199,10 @@
                 process.kill()
             await process.wait()
 
+    def _host(self, vm):
+        domain, _, number = vm.partition("-vm")
+        return f"{self._hosts[domain == 'south']}.{number}"
+
     def _deployment_text(self):
         domains = "".join(
             f"[failure_domain {name}]\nregion = {name}\nentry_vms = {self._entry_vms}\n"
--- a/tests/processes/test_crowds.py
+++ b/tests/processes/test_crowds.py
@@ -5,9 +5,13 @@
 
 import asyncio
 import resource
+import struct
 
 import pytest
 
+from hibiscushaven.client import ServiceClient
+from hibiscushaven.peers.stream import MAX_FRAME_BYTES as FRAME_BYTES
+
 from .crowds import (
     CALLERS,
     CROWDS,
@@ -23,12 +27,13 @@
     open_descriptors,
     peak_memory_bytes,
 )
-from .deployment import TEST_TIMEOUT_S
+from .deployment import TEST_TIMEOUT_S, Deployment, run_on
 from .gateways import Gateways
 from .random_crowds import play
 
 MEMORY_MB = 128
 MAX_DESCRIPTORS = 300
+ENTRY_VM = "north-vm1"
 SOAK_SEEDS = (1, 2)
 SOAK_S = 12.0
 ROUTE = {"Timeout": "60000ms", "Kind": "safe", "MaxAttempts": 1}
@@ -86,6 +91,56 @@
     run(scenario, tmp_path, MAX_DESCRIPTORS)
 
 
+def run_entry_vm(scenario, directory, arguments=()):
+    """Run a scenario on an entry VM of a deployment, and on clients of its port for other VMs."""
+
+    async def play(deployment):
+        host, port = deployment.peers_at(ENTRY_VM)
+        clients = CrowdClients(host)
+        try:
+            async with ServiceClient("stock", [deployment.url(ENTRY_VM)]) as client:
+                await client.request("GET", "/items/first")
+                await scenario(deployment, clients, port, client)
+        finally:
+            clients.close()
+
+    run_on(Deployment(directory, 1, arguments=("--memory-mb", str(MEMORY_MB), *arguments)), play)
+
+
+def test_messages_that_stop_short_end_no_entry_vm(tmp_path):
+    """Guards against clients at the port for other VMs whose messages never end."""
+    message = struct.pack("!I", FRAME_BYTES) + bytes(FRAME_BYTES - 1)
+
+    async def scenario(deployment, clients, port, client):
+        await clients.send(Crowd(60, message, (port,)))
+        for number in range(SETTLING_REQUESTS):
+            response = await client.request("GET", f"/items/{number}", timeout_s=60)
+        assert deployment.is_running(ENTRY_VM)
+        assert peak_memory_bytes(deployment.process_id(ENTRY_VM)) < MEMORY_MB * 1024 * 1024
+        assert response.status == 200
+
+    run_entry_vm(scenario, tmp_path)
+
+
+def test_silent_connections_to_an_entry_vm_leave_descriptors_for_others(tmp_path):
+    """Guards against clients that take all descriptors at the port for other VMs."""
+
+    async def scenario(deployment, clients, port, client):
+        process_id = deployment.process_id(ENTRY_VM)
+        _, hard_limit = resource.prlimit(process_id, resource.RLIMIT_NOFILE)
+        resource.prlimit(process_id, resource.RLIMIT_NOFILE, (MAX_DESCRIPTORS, hard_limit))
+        sending = asyncio.create_task(clients.send(Crowd(400, b"", (port,))))
+        descriptors = []
+        while not sending.done() or len(descriptors) < SETTLING_REQUESTS:
+            response = await client.request("GET", "/items/1", timeout_s=60)
+            descriptors.append(open_descriptors(process_id))
+        assert deployment.is_running(ENTRY_VM)
+        assert max(descriptors) < MAX_DESCRIPTORS
+        assert response.status == 200
+
+    run_entry_vm(scenario, tmp_path, ("--max-descriptors", str(MAX_DESCRIPTORS)))
+
+
 def _fields(count):
     return b"".join(b"%02x:\r\n" % (number % 256) for number in range(count))
 
