--- a/tests/processes/crowds.py
+++ b/tests/processes/crowds.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import resource
 import socket
 import struct
 from collections.abc import Callable
@@ -218,6 +219,12 @@
     return int(line.split()[1]) * 1024
 
 
+def limit_descriptors(process_id, count):
+    """Limit the number of descriptors that a process may have open."""
+    _, hard_limit = resource.prlimit(process_id, resource.RLIMIT_NOFILE)
+    resource.prlimit(process_id, resource.RLIMIT_NOFILE, (count, hard_limit))
+
+
 def open_descriptors(process_id):
     """Return the number of descriptors that a process has open."""
     return len(list(Path(f"/proc/{process_id}/fd").iterdir()))
--- a/tests/processes/random_crowds.py
+++ b/tests/processes/random_crowds.py
@@ -9,7 +9,6 @@
 import asyncio
 import contextlib
 import random
-import resource
 import signal
 import sys
 import tempfile
@@ -25,6 +24,7 @@
     CROWDS,
     LIMITS,
     CrowdClients,
+    limit_descriptors,
     open_descriptors,
     peak_memory_bytes,
     random_crowd,
@@ -154,9 +154,7 @@
             )
 
     def _limit_descriptors(self, vm):
-        process_id = self._gateways.process_id(vm)
-        _, hard_limit = resource.prlimit(process_id, resource.RLIMIT_NOFILE)
-        resource.prlimit(process_id, resource.RLIMIT_NOFILE, (MAX_DESCRIPTORS, hard_limit))
+        limit_descriptors(self._gateways.process_id(vm), MAX_DESCRIPTORS)
 
     def _check_process(self, vm):
         if not self._gateways.is_running(vm):
--- a/tests/processes/test_crowds.py
+++ b/tests/processes/test_crowds.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import resource
 import struct
 
 import pytest
@@ -24,6 +23,7 @@
     BodyServer,
     Crowd,
     CrowdClients,
+    limit_descriptors,
     open_descriptors,
     peak_memory_bytes,
 )
@@ -80,8 +80,7 @@
 
     async def scenario(gateways, clients):
         process_id = gateways.process_id(0)
-        _, hard_limit = resource.prlimit(process_id, resource.RLIMIT_NOFILE)
-        resource.prlimit(process_id, resource.RLIMIT_NOFILE, (MAX_DESCRIPTORS, hard_limit))
+        limit_descriptors(process_id, MAX_DESCRIPTORS)
         await clients.send(Crowd(400, b"", (port,)))
         statuses = [await gateways.request(0, "/x/1") for _ in range(SETTLING_REQUESTS)]
         assert gateways.is_running(0)
@@ -127,8 +126,7 @@
 
     async def scenario(deployment, clients, port, client):
         process_id = deployment.process_id(ENTRY_VM)
-        _, hard_limit = resource.prlimit(process_id, resource.RLIMIT_NOFILE)
-        resource.prlimit(process_id, resource.RLIMIT_NOFILE, (MAX_DESCRIPTORS, hard_limit))
+        limit_descriptors(process_id, MAX_DESCRIPTORS)
         sending = asyncio.create_task(clients.send(Crowd(400, b"", (port,))))
         descriptors = []
         while not sending.done() or len(descriptors) < SETTLING_REQUESTS:
